--- /dev/null
+++ b/src/egretjunction/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as ``python -m egretjunction``."""
+
+from egretjunction import cli
+
+if __name__ == '__main__':
+    cli.main()
--- /dev/null
+++ b/src/egretjunction/_backend.py
@@ -0,0 +1,165 @@
+"""One HTTP/1.1 exchange with the backend server beside an agent."""
+
+import asyncio
+import socket
+import typing
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+
+from egretjunction import addresses
+from egretjunction import verdicts
+
+CONNECT_SECONDS = 2.0
+MAX_BODY_BYTES = 1 << 50
+CHUNK_BYTES = 65_536
+METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'OPTIONS', 'TRACE'))
+
+
+class BackendError(Exception):
+    """The backend server did not give a whole answer.
+
+    :param progress: how far the request got.
+    """
+
+    def __init__(self, message: str, progress: verdicts.Progress) -> None:
+        self.progress = progress
+        super().__init__(message)
+
+
+class Head:
+    """Request line and headers."""
+
+    __slots__ = ('headers', 'method', 'path')
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+
+
+ReadBody = typing.Callable[[], typing.Awaitable[bytes]]
+OnHead = typing.Callable[[int, httputil.HTTPHeaders], typing.Awaitable[None]]
+OnData = typing.Callable[[bytes], typing.Awaitable[None]]
+
+
+class _Answer(httputil.HTTPMessageDelegate):
+    """Hands the parts of an answer on as they arrive."""
+
+    def __init__(self, exchange: 'Exchange', on_head: OnHead, on_data: OnData) -> None:
+        self._exchange = exchange
+        self._on_head = on_head
+        self._on_data = on_data
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> typing.Awaitable[None] | None:
+        line = typing.cast('httputil.ResponseStartLine', start_line)
+        if line.code >= 200:
+            self._exchange.progress = verdicts.Progress.FIRST_BYTE
+            return self._on_head(line.code, headers)
+        return None
+
+    def data_received(self, chunk: bytes) -> typing.Awaitable[None]:
+        return self._on_data(chunk)
+
+    def finish(self) -> None:
+        self._exchange.progress = verdicts.Progress.ANSWERED
+
+
+class Exchange:
+    """One request and its answer, with a connection of its own.
+
+    :param address: the backend server.
+    """
+
+    __slots__ = ('_address', '_stream', 'progress')
+
+    def __init__(self, address: addresses.Address) -> None:
+        self._address = address
+        self._stream: iostream.IOStream | None = None
+        self.progress = verdicts.Progress.QUEUED
+
+    async def run(
+        self,
+        head: Head,
+        read_body: ReadBody,
+        on_head: OnHead,
+        on_data: OnData,
+    ) -> None:
+        """Send the request and hand the answer on.
+
+        :param head: request line and headers.
+        :param read_body: returns the next part of the body, empty at its end.
+        :param on_head: takes status and headers of the answer.
+        :param on_data: takes a part of the answer's body.
+        :raises BackendError: when the answer is not complete.
+        """
+        await self._connect()
+        stream = typing.cast('iostream.IOStream', self._stream)
+        parameters = http1connection.HTTP1ConnectionParameters(
+            no_keep_alive=True,
+            chunk_size=CHUNK_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+        )
+        connection = http1connection.HTTP1Connection(stream, True, parameters)
+        sending = asyncio.create_task(self._send(connection, head, read_body))
+        try:
+            await connection.read_response(_Answer(self, on_head, on_data))
+        except (iostream.StreamClosedError, httputil.HTTPInputError) as error:
+            raise BackendError(str(error), self.progress) from error
+        finally:
+            sending.cancel()
+            stream.close()
+        if self.progress is not verdicts.Progress.ANSWERED:
+            raise BackendError('answer was cut short', self.progress)
+
+    def cancel(self) -> None:
+        """Close the connection, which tells the backend server to stop."""
+        if self._stream is not None:
+            self._stream.close()
+
+    async def _connect(self) -> None:
+        self._stream = iostream.IOStream(socket.socket())
+        try:
+            await asyncio.wait_for(
+                self._stream.connect(self._address),
+                CONNECT_SECONDS,
+            )
+        except (OSError, TimeoutError) as error:
+            self._stream.close()
+            raise BackendError(f'cannot connect: {error}', self.progress) from error
+
+    async def _send(
+        self,
+        connection: http1connection.HTTP1Connection,
+        head: Head,
+        read_body: ReadBody,
+    ) -> None:
+        start = httputil.RequestStartLine(head.method, head.path, 'HTTP/1.1')
+        self.progress = verdicts.Progress.SENT
+        try:
+            await connection.write_headers(start, head.headers)
+            if head.method not in METHODS_WITHOUT_BODY:
+                await self._send_body(connection, read_body)
+            connection.finish()
+        except (iostream.StreamClosedError, httputil.HTTPOutputError):
+            self.cancel()
+
+    async def _send_body(
+        self,
+        connection: http1connection.HTTP1Connection,
+        read_body: ReadBody,
+    ) -> None:
+        chunk = await read_body()
+        while chunk:
+            await connection.write(chunk)
+            chunk = await read_body()
--- /dev/null
+++ b/src/egretjunction/_caller_flow.py
@@ -0,0 +1,275 @@
+"""One connection of the caller library and the answers that it waits for."""
+
+import asyncio
+import typing
+
+from aioquic import asyncio as quic_asyncio
+from aioquic.h3 import connection as h3
+from aioquic.h3 import events as h3_events
+from aioquic.quic import configuration as quic_configuration
+from aioquic.quic import connection as quic
+from aioquic.quic import events as quic_events
+
+from egretjunction import _headers
+from egretjunction import _quic
+from egretjunction import addresses
+from egretjunction import verdicts
+
+HANDSHAKE_SECONDS = 2.0
+KEEP_ALIVE_SECONDS = 25.0
+SEND_HIGH_WATER_BYTES = 262_144
+CHUNK_BYTES = 65_536
+ANY_ADDRESS = '0.0.0.0'
+
+
+class FlowError(Exception):
+    """A request got no whole answer.
+
+    :param verdict: whether it may have run.
+    """
+
+    def __init__(self, message: str, verdict: verdicts.Verdict) -> None:
+        self.verdict = verdict
+        super().__init__(message)
+
+
+class Answer:
+    """An answer that arrives in parts."""
+
+    __slots__ = ('_changed', '_error', 'body', 'headers', 'is_complete', 'is_sent', 'status')
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.is_complete = False
+        self.is_sent = False
+        self._error: FlowError | None = None
+        self._changed = asyncio.Event()
+
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """Return what is known if nothing more arrives."""
+        if self.status:
+            return _verdict_in(self.headers)
+        if self.is_sent:
+            return verdicts.Verdict.MAY_HAVE_RUN
+        return verdicts.Verdict.NOT_RUN
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing more will arrive."""
+        return self.is_complete or self._error is not None
+
+    def fail(self, message: str, verdict: verdicts.Verdict | None = None) -> None:
+        """End the answer with an error."""
+        if not self.is_over:
+            self._error = FlowError(message, verdict or self.verdict)
+        self._changed.set()
+
+    def add_headers(self, pairs: _headers.Pairs) -> None:
+        """Take in status and headers."""
+        fields = {name.decode('latin-1'): text.decode('latin-1') for name, text in pairs}
+        self.status = int(fields.get(':status', '0'))
+        self.headers = fields
+        self._changed.set()
+
+    def add_body(self, part: bytes) -> None:
+        """Take in a part of the body."""
+        self.body += part
+        self._changed.set()
+
+    def complete(self) -> None:
+        """Note the end of the answer."""
+        self.is_complete = True
+        self._changed.set()
+
+    async def wait(self) -> None:
+        """Wait until something has arrived.
+
+        :raises FlowError: when the answer ended early.
+        """
+        if self._error is not None:
+            raise self._error
+        if self.is_complete:
+            return
+        self._changed.clear()
+        await self._changed.wait()
+
+    async def whole(self) -> None:
+        """Wait until the answer is complete.
+
+        :raises FlowError: when it ended early.
+        """
+        while not self.is_complete:
+            await self.wait()
+
+
+def _verdict_in(headers: dict[str, str]) -> verdicts.Verdict:
+    try:
+        return verdicts.Verdict(headers.get(_headers.VERDICT, ''))
+    except ValueError:
+        return verdicts.Verdict.MAY_HAVE_RUN
+
+
+class CallerFlow(quic_asyncio.QuicConnectionProtocol):
+    """A connection to one service address."""
+
+    def __init__(self, connection: quic.QuicConnection) -> None:
+        super().__init__(connection)
+        self.http = _quic.Http3Connection(connection, self._on_goaway)
+        self.is_leaving = False
+        self.is_over = False
+        self._answer_by_stream: dict[int, Answer] = {}
+        self._moved = asyncio.Event()
+        self.left = asyncio.Event()
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether a new request may be sent here."""
+        return not self.is_leaving and not self.is_over
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no answer is awaited."""
+        return not self._answer_by_stream
+
+    async def send(
+        self,
+        pairs: _headers.Pairs,
+        body: bytes,
+        sent: list[Answer],
+    ) -> tuple[int, Answer]:
+        """Send a request.
+
+        :param pairs: header fields.
+        :param body: the whole body.
+        :param sent: gets the answer as soon as the request may reach the server,
+            so that a caller that stops waiting knows its verdict.
+        :return: number of the stream and the answer to wait for.
+        :raises FlowError: when the connection ended while the body was sent.
+        """
+        if not self.is_usable:
+            raise FlowError('connection is closing', verdicts.Verdict.NOT_RUN)
+        stream_id = self._quic.get_next_available_stream_id()
+        answer = Answer()
+        self._answer_by_stream[stream_id] = answer
+        answer.is_sent = True
+        sent.append(answer)
+        self.http.send_headers(stream_id, pairs, end_stream=not body)
+        self.transmit()
+        for start in range(0, len(body), CHUNK_BYTES):
+            if answer.is_over or not _quic.can_send(self._quic, stream_id):
+                break
+            part = body[start : start + CHUNK_BYTES]
+            self.http.send_data(stream_id, part, start + CHUNK_BYTES >= len(body))
+            self.transmit()
+            await self._drain(stream_id, answer)
+        return stream_id, answer
+
+    async def _drain(self, stream_id: int, answer: Answer) -> None:
+        while (
+            _quic.unsent(self._quic, stream_id) > SEND_HIGH_WATER_BYTES
+            and not answer.is_over
+        ):
+            self._moved.clear()
+            await self._moved.wait()
+
+    def cancel(self, stream_id: int) -> None:
+        """Give a request up."""
+        answer = self._answer_by_stream.pop(stream_id, None)
+        if answer is None or self.is_over:
+            return
+        if _quic.can_send(self._quic, stream_id):
+            self._quic.reset_stream(stream_id, h3.ErrorCode.H3_REQUEST_CANCELLED)
+        if not answer.is_complete and stream_id in self._quic._streams:  # noqa: SLF001
+            self._quic.stop_stream(stream_id, h3.ErrorCode.H3_REQUEST_CANCELLED)
+        self.transmit()
+
+    def datagram_received(self, payload: bytes | str, address: typing.Any) -> None:
+        """Take in one datagram."""
+        super().datagram_received(payload, address)
+        self._moved.set()
+
+    def quic_event_received(self, event: quic_events.QuicEvent) -> None:
+        """Handle an event of the connection."""
+        if isinstance(event, quic_events.ConnectionTerminated):
+            self._end(event)
+            return
+        if isinstance(event, quic_events.StreamReset):
+            self._on_reset(event)
+        for http_event in self.http.handle_event(event):
+            self._on_http(http_event)
+
+    def _on_http(self, event: h3_events.H3Event) -> None:
+        if isinstance(event, h3_events.HeadersReceived):
+            answer = self._answer_by_stream.get(event.stream_id)
+            if answer is None:
+                return
+            answer.add_headers(event.headers)
+        elif isinstance(event, h3_events.DataReceived):
+            answer = self._answer_by_stream.get(event.stream_id)
+            if answer is None:
+                return
+            answer.add_body(event.data)
+        else:
+            return
+        if event.stream_ended:
+            self._answer_by_stream.pop(event.stream_id, None)
+            answer.complete()
+
+    def _on_reset(self, event: quic_events.StreamReset) -> None:
+        answer = self._answer_by_stream.pop(event.stream_id, None)
+        if answer is None:
+            return
+        verdict = None
+        if event.error_code == h3.ErrorCode.H3_REQUEST_REJECTED:
+            verdict = verdicts.Verdict.NOT_RUN
+        answer.fail(f'stream was reset with {event.error_code:#x}', verdict)
+
+    def _on_goaway(self, stream_id: int) -> None:
+        self.is_leaving = True
+        self.left.set()
+        for number, answer in list(self._answer_by_stream.items()):
+            if number >= stream_id:
+                self._answer_by_stream.pop(number)
+                answer.fail('server is leaving', verdicts.Verdict.NOT_RUN)
+
+    def _end(self, event: quic_events.ConnectionTerminated) -> None:
+        self.is_over = True
+        self.left.set()
+        self._moved.set()
+        for answer in self._answer_by_stream.values():
+            answer.fail(f'connection ended: {event.reason_phrase or event.error_code}')
+        self._answer_by_stream.clear()
+
+
+async def connect(
+    address: addresses.Address,
+    configuration: quic_configuration.QuicConfiguration,
+) -> CallerFlow:
+    """Open a connection to a service address.
+
+    :raises FlowError: with NOT_RUN, when the handshake does not finish in time.
+    """
+    loop = asyncio.get_running_loop()
+    connection = quic.QuicConnection(configuration=configuration)
+    _, flow = await loop.create_datagram_endpoint(
+        lambda: CallerFlow(connection),
+        local_addr=(ANY_ADDRESS, 0),
+    )
+    flow.connect(address)
+    try:
+        await asyncio.wait_for(flow.wait_connected(), HANDSHAKE_SECONDS)
+    except (TimeoutError, ConnectionError) as error:
+        close(flow)
+        message = f'no connection to {address}'
+        raise FlowError(message, verdicts.Verdict.NOT_RUN) from error
+    return flow
+
+
+def close(flow: CallerFlow) -> None:
+    """Close a connection and its socket."""
+    flow.close()
+    transport = flow._transport  # noqa: SLF001
+    asyncio.get_running_loop().call_soon(transport.close)
--- /dev/null
+++ b/src/egretjunction/_quic.py
@@ -0,0 +1,235 @@
+"""The parts of aioquic that this package extends; it is pinned to one minor version.
+
+Connections issue their own connection IDs and reset tokens, the receive window
+follows what the receiver has consumed, and HTTP/3 can send and notice GOAWAY.
+"""
+
+import typing
+
+from aioquic import buffer
+from aioquic.h3 import connection as h3
+from aioquic.quic import configuration as quic_configuration
+from aioquic.quic import connection as quic
+from aioquic.quic import crypto
+from aioquic.quic import packet
+from aioquic.quic import packet_builder
+
+ALPN = ('h3',)
+IDLE_SECONDS = 120.0
+CONNECTION_WINDOW_BYTES = 524_288
+STREAM_WINDOW_BYTES = 262_144
+WINDOW_STEPS = 4
+CONNECTION_ID_LENGTH = 20
+
+Mint = typing.Callable[[], bytes]
+ResetToken = typing.Callable[[bytes], bytes]
+
+
+class ConsumedLimit(quic.Limit):
+    """A MAX_DATA limit that rises only as received bytes are consumed."""
+
+    def __init__(self, frame_type: int, window: int) -> None:
+        self.backlog = 0
+        self._window = window
+        self._granted = window
+        super().__init__(frame_type, 'max_data', window)
+
+    @property
+    def value(self) -> int:
+        """Return the limit in bytes, raised in steps of a part of the window."""
+        wanted = self.used - self.backlog + self._window
+        if wanted - self._granted >= self._window // WINDOW_STEPS:
+            self._granted = wanted
+        return self._granted
+
+    @value.setter
+    def value(self, _wanted: int) -> None:
+        """Ignore the library's own growth of the limit."""
+
+
+class ServerConnection(quic.QuicConnection):
+    """A server connection whose IDs name their owner.
+
+    :param mint: returns a fresh connection ID.
+    :param reset_token: returns the stateless reset token of an ID.
+    """
+
+    def __init__(
+        self,
+        *,
+        mint: Mint,
+        reset_token: ResetToken,
+        configuration: quic_configuration.QuicConfiguration,
+        original_destination_connection_id: bytes,
+    ) -> None:
+        super().__init__(
+            configuration=configuration,
+            original_destination_connection_id=original_destination_connection_id,
+        )
+        self._mint = mint
+        self._reset_token = reset_token
+        first = self._host_cids[0]
+        self._name(first)
+        self.host_cid = first.cid
+        self._local_initial_source_connection_id = first.cid
+        self._local_max_data = ConsumedLimit(
+            quic.QuicFrameType.MAX_DATA,
+            CONNECTION_WINDOW_BYTES,
+        )
+
+    def hold(self, count: int) -> None:
+        """Note received bytes that nobody has consumed yet."""
+        self._local_max_data.backlog += count
+
+    def consume(self, count: int) -> None:
+        """Note that held bytes were consumed, which widens the window."""
+        self._local_max_data.backlog -= count
+
+    def _name(self, issued: quic.QuicConnectionId) -> None:
+        issued.cid = self._mint()
+        issued.stateless_reset_token = self._reset_token(issued.cid)
+
+    def _replenish_connection_ids(self) -> None:
+        known = len(self._host_cids)
+        super()._replenish_connection_ids()
+        for issued in self._host_cids[known:]:
+            self._name(issued)
+
+
+def unsent(connection: quic.QuicConnection, stream_id: int) -> int:
+    """Return the bytes of a stream that the peer has not acknowledged."""
+    stream = connection._streams.get(stream_id)  # noqa: SLF001
+    if stream is None:
+        return 0
+    sender = stream.sender
+    return sender._buffer_stop - sender._buffer_start  # noqa: SLF001
+
+
+def can_send(connection: quic.QuicConnection, stream_id: int) -> bool:
+    """Tell whether a stream still takes data."""
+    stream = connection._streams.get(stream_id)  # noqa: SLF001
+    if stream is None or connection._state in quic.END_STATES:  # noqa: SLF001
+        return False
+    sender = stream.sender
+    return sender._reset_error_code is None and not sender.is_finished  # noqa: SLF001
+
+
+class Http3Connection(h3.H3Connection):
+    """HTTP/3 with GOAWAY in both directions.
+
+    :param on_goaway: called with the stream ID of a received GOAWAY.
+    """
+
+    def __init__(
+        self,
+        connection: quic.QuicConnection,
+        on_goaway: typing.Callable[[int], None] | None = None,
+    ) -> None:
+        self._on_goaway = on_goaway
+        super().__init__(connection)
+
+    def send_goaway(self, stream_id: int) -> None:
+        """Tell the peer that requests from this stream ID on will not be run."""
+        frame = h3.encode_frame(
+            h3.FrameType.GOAWAY,
+            buffer.encode_uint_var(stream_id),
+        )
+        self._quic.send_stream_data(self._local_control_stream_id, frame)
+
+    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+        if frame_type == h3.FrameType.GOAWAY and self._on_goaway is not None:
+            try:
+                stream_id = buffer.Buffer(data=frame_data).pull_uint_var()
+            except buffer.BufferReadError as error:
+                raise h3.FrameError('Could not parse GOAWAY frame') from error
+            self._on_goaway(stream_id)
+        super()._handle_control_frame(frame_type, frame_data)
+
+
+def server_configuration(
+    certificate_file: str,
+    private_key_file: str,
+) -> quic_configuration.QuicConfiguration:
+    """Return the configuration of an agent's connections; 0-RTT stays off."""
+    created = quic_configuration.QuicConfiguration(
+        is_client=False,
+        alpn_protocols=list(ALPN),
+        connection_id_length=CONNECTION_ID_LENGTH,
+        idle_timeout=IDLE_SECONDS,
+        max_data=CONNECTION_WINDOW_BYTES,
+        max_stream_data=STREAM_WINDOW_BYTES,
+    )
+    created.load_cert_chain(certificate_file, private_key_file)
+    return created
+
+
+def client_configuration(
+    server_name: str,
+    authority_file: str,
+) -> quic_configuration.QuicConfiguration:
+    """Return the configuration of a caller's connections."""
+    created = quic_configuration.QuicConfiguration(
+        is_client=True,
+        alpn_protocols=list(ALPN),
+        idle_timeout=IDLE_SECONDS,
+        server_name=server_name,
+    )
+    created.load_verify_locations(authority_file)
+    return created
+
+
+def refusal(payload: bytes) -> bytes:
+    """Return the packet that refuses a connection before its handshake.
+
+    :param payload: the caller's first datagram.
+    :raises ValueError: when it is no QUIC Initial packet.
+    """
+    header = packet.pull_quic_header(buffer.Buffer(data=payload))
+    if header.packet_type is not packet.QuicPacketType.INITIAL:
+        raise ValueError('not an Initial packet')
+    keys = crypto.CryptoPair()
+    version = typing.cast('int', header.version)
+    keys.setup_initial(cid=header.destination_cid, is_client=False, version=version)
+    builder = packet_builder.QuicPacketBuilder(
+        host_cid=header.destination_cid,
+        is_client=False,
+        max_datagram_size=quic_configuration.SMALLEST_MAX_DATAGRAM_SIZE,
+        peer_cid=header.source_cid,
+        version=version,
+    )
+    builder.start_packet(packet.QuicPacketType.INITIAL, keys)
+    frame = builder.start_frame(
+        packet.QuicFrameType.TRANSPORT_CLOSE,
+        capacity=quic.TRANSPORT_CLOSE_FRAME_CAPACITY,
+    )
+    frame.push_uint_var(packet.QuicErrorCode.CONNECTION_REFUSED)
+    frame.push_uint_var(packet.QuicFrameType.PADDING)
+    frame.push_uint_var(0)
+    datagrams, _ = builder.flush()
+    return datagrams[0]
+
+
+def version_negotiation(payload: bytes) -> bytes | None:
+    """Return the answer to a packet of an unknown QUIC version, if it is one.
+
+    :raises ValueError: when the datagram is not QUIC.
+    """
+    header = packet.pull_quic_header(buffer.Buffer(data=payload))
+    supported = quic_configuration.QuicConfiguration().supported_versions
+    if header.version in {None, packet.QuicProtocolVersion.NEGOTIATION, *supported}:
+        return None
+    return packet.encode_quic_version_negotiation(
+        source_cid=header.destination_cid,
+        destination_cid=header.source_cid,
+        supported_versions=supported,
+    )
+
+
+def stateless_reset(token: bytes, filler: bytes) -> bytes:
+    """Return a packet that ends a flow whose keys are lost.
+
+    :param token: reset token of the flow's connection ID.
+    :param filler: random bytes, at least five.
+    """
+    first = (filler[0] & 0x3F) | 0x40
+    return bytes([first]) + filler[1:] + token
--- /dev/null
+++ b/src/egretjunction/_udp.py
@@ -0,0 +1,63 @@
+"""A UDP socket on the event loop, read in batches."""
+
+import socket
+import typing
+
+from tornado import ioloop
+
+from egretjunction import addresses
+from egretjunction.wire import packets
+
+BATCH_SIZE = 64
+BUFFER_BYTES = 4 * 1024 * 1024
+
+Receive = typing.Callable[[bytes, tuple[str, int]], None]
+
+
+class DatagramSocket:
+    """One bound UDP socket that hands each datagram to a function.
+
+    :param address: where to bind.
+    :param receive: called with a datagram and its sender.
+    """
+
+    __slots__ = ('_loop', '_receive', '_socket', 'dropped')
+
+    def __init__(self, address: addresses.Address, receive: Receive) -> None:
+        self._receive = receive
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+        self._socket.setblocking(False)
+        self._socket.bind(address)
+        self.dropped = 0
+        self._loop = ioloop.IOLoop.current()
+        self._loop.add_handler(self._socket, self._on_ready, ioloop.IOLoop.READ)
+
+    @property
+    def address(self) -> addresses.Address:
+        """Return the address that the socket is bound to."""
+        return addresses.Address(*self._socket.getsockname())
+
+    def send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram; one that does not fit the buffer is dropped."""
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError:
+            self.dropped += 1
+
+    def close(self) -> None:
+        """Stop reading and close the socket."""
+        self._loop.remove_handler(self._socket)
+        self._socket.close()
+
+    def _on_ready(self, _socket: object, _events: int) -> None:
+        for _ in range(BATCH_SIZE):
+            try:
+                datagram, sender = self._socket.recvfrom(packets.MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.dropped += 1
+                return
+            self._receive(datagram, sender)
--- /dev/null
+++ b/src/egretjunction/addresses.py
@@ -0,0 +1,46 @@
+"""IPv4 addresses with a port, as text and as the six bytes of a packet."""
+
+import socket
+import struct
+import typing
+
+MAX_PORT = 65535
+PACKED_BYTES = 6
+_PORT = struct.Struct('!H')
+
+
+class Address(typing.NamedTuple):
+    """An IPv4 address and a port, usable where a socket address is expected."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+def parse(text: str) -> Address:
+    """Read ``host:port``.
+
+    :param text: for example ``127.0.0.1:7000``.
+    :raises ValueError: with the accepted form, when the text is anything else.
+    """
+    host, _, port = text.strip().rpartition(':')
+    try:
+        socket.inet_aton(host)
+    except OSError as error:
+        raise ValueError('an IPv4 address and port such as 127.0.0.1:7000') from error
+    if host.count('.') != 3 or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError('an IPv4 address and port such as 127.0.0.1:7000')
+    return Address(host, int(port))
+
+
+def pack(address: tuple[str, int]) -> bytes:
+    """Return the six bytes of an address."""
+    return socket.inet_aton(address[0]) + _PORT.pack(address[1])
+
+
+def unpack(packed: bytes) -> Address:
+    """Return the address in six bytes."""
+    return Address(socket.inet_ntoa(packed[:4]), _PORT.unpack(packed[4:6])[0])
--- /dev/null
+++ b/src/egretjunction/agent.py
@@ -0,0 +1,474 @@
+"""The agent daemon: owns flows and runs their requests on one backend server."""
+
+import asyncio
+import collections
+import os
+import signal
+import time
+
+import msgspec
+from tornado import httpclient
+from tornado import ioloop
+from tornado import simple_httpclient
+
+from egretjunction import _admin
+from egretjunction import _flows
+from egretjunction import _quic
+from egretjunction import _requests
+from egretjunction import _udp
+from egretjunction import addresses
+from egretjunction import control
+from egretjunction import errors
+from egretjunction import lifecycles
+from egretjunction import logs
+from egretjunction import metrics
+from egretjunction import platform
+from egretjunction import settings
+from egretjunction.decisions import admission
+from egretjunction.decisions import agent_control
+from egretjunction.decisions import answers
+from egretjunction.decisions import dispatch
+from egretjunction.decisions import health
+from egretjunction.decisions import incarnations
+from egretjunction.decisions import membership
+from egretjunction.decisions import ownership
+from egretjunction.decisions import placement
+from egretjunction.wire import packets
+
+TICK_SECONDS = 0.25
+HEALTH_SECONDS = 0.5
+HEALTH_CALL_SECONDS = 1.0
+IDLE_GRACE_SECONDS = 2.0
+LEAVE_SECONDS = 0.5
+QUEUE_LIMIT_BEFORE_CONFIGURED = 1
+RESET_FILLER_BYTES = 21
+LOGGED_PER_REASON = 5
+ENTRIES_PREFIX = 'entries/'
+
+
+class BackendHealth(msgspec.Struct):
+    """What the health endpoint of a backend server says.
+
+    :param state: ``cold``, ``warm`` or ``draining``.
+    :param healthy: its own claim, which may be late or wrong.
+    """
+
+    state: str
+    healthy: bool = True
+
+
+class Agent:
+    """One agent process; it owns its sockets and its state.
+
+    :param given: checked settings.
+    """
+
+    def __init__(self, given: settings.Agent) -> None:
+        self._given = given
+        self._clock = time.monotonic
+        self._key = settings.read_key(given.key_file)
+        self._quic = _quic.server_configuration(
+            given.certificate_file,
+            given.private_key_file,
+        )
+        self._incarnation = incarnations.from_clock(time.time())
+        self._owner = ownership.Owner(given.data, self._incarnation)
+        self._figures = metrics.Metrics('agent')
+        self._lifecycle = lifecycles.Lifecycle('agent')
+        self._health = health.Health()
+        self._control = agent_control.AgentControl(self._own_record(), given.seeds)
+        self._admission = admission.Admission()
+        self._answers = answers.AnswerPaths()
+        self._dispatcher = dispatch.Dispatcher(
+            given.slots,
+            QUEUE_LIMIT_BEFORE_CONFIGURED,
+        )
+        self._requests = _requests.Requests(
+            given.backend,
+            self._dispatcher,
+            self._health,
+            self._figures,
+        )
+        self._links = control.Links(
+            self._key,
+            self._on_message,
+            self._figures,
+            self._clock,
+        )
+        self._handlers = _flows.Handlers(
+            self._send,
+            self._on_request,
+            self._requests.cancel,
+            self._on_flow_gone,
+        )
+        self._flow_by_connection_id: dict[bytes, _flows.Flow] = {}
+        self._ids_by_flow: dict[_flows.Flow, set[bytes]] = {}
+        self._logged_by_reason: collections.Counter[str] = collections.Counter()
+        self._drain_began_at = 0.0
+        self._stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a drain has finished."""
+        self._data = _udp.DatagramSocket(self._given.data, self._on_datagram)
+        self._register_figures()
+        admin = _admin.serve(
+            self._given.admin,
+            self._figures,
+            self._status,
+            self.drain,
+        )
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.drain)
+        ticker = ioloop.PeriodicCallback(self._tick, TICK_SECONDS * 1000)
+        ticker.start()
+        tasks = [
+            asyncio.create_task(self._poll_health()),
+            asyncio.create_task(self._find_entries()),
+        ]
+        logs.get().info('agent_started', incarnation=self._incarnation)
+        await self._stopped.wait()
+        for task in tasks:
+            task.cancel()
+        ticker.stop()
+        self._data.close()
+        self._links.close()
+        admin.stop()
+        logs.get().info('agent_stopped')
+
+    def drain(self) -> None:
+        """Leave gracefully: no new flow from now on, open ones may finish."""
+        if self._lifecycle.send('drain'):
+            self._begin_drain()
+
+    def _begin_drain(self) -> None:
+        now = self._clock()
+        self._drain_began_at = now
+        self._links.apply(self._control.change(now, state=membership.State.DRAINING))
+        for flow in list(self._ids_by_flow):
+            flow.go_away()
+
+    def _own_record(self) -> membership.Member:
+        return membership.Member(
+            name=self._given.name,
+            kind=membership.Kind.AGENT,
+            service=self._given.service,
+            domain=self._given.domain,
+            address=self._given.data,
+            control=self._given.data,
+            incarnation=self._incarnation,
+            sequence=0,
+            state=membership.State.WARMING,
+        )
+
+    def _register_figures(self) -> None:
+        self._figures.gauge('flows', lambda: len(self._ids_by_flow))
+        self._figures.gauge('requests_running', lambda: self._dispatcher.running)
+        self._figures.gauge('requests_waiting', lambda: self._dispatcher.waiting)
+        self._figures.gauge('datagrams_unsent', lambda: self._data.dropped)
+        self._figures.gauge(
+            'configuration_generation',
+            lambda: self._control.in_force.generation,
+        )
+
+    def _status(self) -> dict[str, object]:
+        return {
+            'name': self._given.name,
+            'service': self._given.service,
+            'domain': self._given.domain,
+            'state': self._lifecycle.state,
+            'incarnation': self._incarnation,
+            'sequence': self._control.me.sequence,
+            'generation': self._control.in_force.generation,
+            'fitness': self._control.me.fitness,
+            'flows': len(self._ids_by_flow),
+            'running': self._dispatcher.running,
+            'waiting': self._dispatcher.waiting,
+        }
+
+    # Packets
+
+    def _on_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        now = self._clock()
+        try:
+            envelope = packets.decode(datagram)
+            fields = packets.read_quic_fields(envelope.payload)
+        except errors.PacketError as error:
+            self._drop('malformed', sender, str(error))
+            return
+        option = envelope.placement
+        if option is None:
+            self._drop('without_placement', sender, '')
+            return
+        self._answers.heard(option.entry, now)
+        flow = self._flow_by_connection_id.get(fields.connection_id)
+        if flow is not None:
+            self._feed(flow, envelope, option, now)
+        elif self._is_owned(fields.connection_id):
+            self._reset(envelope, fields, option)
+        elif fields.is_long and option.candidates:
+            self._on_first(envelope, fields, option, now)
+        else:
+            self._drop('unknown_flow', sender, fields.connection_id.hex())
+
+    def _feed(
+        self,
+        flow: _flows.Flow,
+        envelope: packets.Envelope,
+        option: packets.Placement,
+        now: float,
+    ) -> None:
+        """Hand a packet to its flow, if it came to the flow's own service."""
+        if envelope.destination != flow.service_address:
+            self._drop('wrong_service', envelope.source, str(envelope.destination))
+            return
+        flow.entry = option.entry
+        flow.heard_at = now
+        flow.datagram_received(envelope.payload, envelope.source)
+
+    def _is_owned(self, connection_id: bytes) -> bool:
+        service = self._given.service
+        return ownership.owner_of(self._key, service, connection_id) is not None
+
+    def _reset(
+        self,
+        envelope: packets.Envelope,
+        fields: packets.QuicFields,
+        option: packets.Placement,
+    ) -> None:
+        """End a flow of an earlier process at this address, or one that is over."""
+        if fields.is_long or len(envelope.payload) <= RESET_FILLER_BYTES * 2:
+            self._figures.count('packets_dropped_ended_flow')
+            return
+        token = ownership.reset_token(self._key, fields.connection_id)
+        packet = _quic.stateless_reset(token, os.urandom(RESET_FILLER_BYTES))
+        self._figures.count('flows_reset')
+        self._answer(envelope, packet, option.entry)
+
+    def _on_first(
+        self,
+        envelope: packets.Envelope,
+        fields: packets.QuicFields,
+        option: packets.Placement,
+        now: float,
+    ) -> None:
+        service = self._control.service
+        if service is None or envelope.destination != service.address:
+            self._drop('wrong_service', envelope.source, str(envelope.destination))
+            return
+        decision = self._admission.decide(
+            fields.connection_id,
+            option,
+            self._own_load(now),
+            now,
+        )
+        if isinstance(decision, admission.PassOn):
+            self._figures.count('first_packets_passed_on')
+            envelope.placement = decision.placement
+            self._data.send(packets.encode(envelope), decision.address)
+        elif isinstance(decision, admission.Refuse):
+            self._refuse(envelope, option)
+        else:
+            self._take(envelope, fields, option, now)
+
+    def _own_load(self, now: float) -> placement.OwnLoad:
+        has_room = len(self._ids_by_flow) < self._given.max_connections
+        return placement.OwnLoad(
+            self._given.slots,
+            self._dispatcher.busy,
+            self._admission.reserved(now),
+            is_open=has_room and self._lifecycle.state == 'serving',
+            is_fit=self._control.me.fitness > 0,
+        )
+
+    def _refuse(self, envelope: packets.Envelope, option: packets.Placement) -> None:
+        self._figures.count('flows_refused')
+        try:
+            packet = _quic.refusal(envelope.payload)
+        except ValueError as error:
+            self._drop('malformed', envelope.source, str(error))
+            return
+        self._answer(envelope, packet, option.entry)
+
+    def _take(
+        self,
+        envelope: packets.Envelope,
+        fields: packets.QuicFields,
+        option: packets.Placement,
+        now: float,
+    ) -> None:
+        try:
+            negotiation = _quic.version_negotiation(envelope.payload)
+        except ValueError as error:
+            self._drop('malformed', envelope.source, str(error))
+            return
+        if negotiation is not None:
+            self._answer(envelope, negotiation, option.entry)
+            return
+        connection = _quic.ServerConnection(
+            mint=self._mint,
+            reset_token=lambda issued: ownership.reset_token(self._key, issued),
+            configuration=self._quic,
+            original_destination_connection_id=fields.connection_id,
+        )
+        flow = _flows.Flow(connection, envelope.destination, self._handlers)
+        self._ids_by_flow[flow] = set()
+        self._register(flow, fields.connection_id)
+        self._register(flow, connection.host_cid)
+        flow.watch_ids(self._register, self._unregister)
+        self._admission.reserve(flow, now)
+        self._figures.count('flows_taken')
+        self._feed(flow, envelope, option, now)
+
+    def _mint(self) -> bytes:
+        while True:
+            nonce = os.urandom(ownership.NONCE_BYTES)
+            minted = ownership.mint(self._key, self._given.service, self._owner, nonce)
+            if minted not in self._flow_by_connection_id:
+                return minted
+
+    def _register(self, flow: _flows.Flow, connection_id: bytes) -> None:
+        self._flow_by_connection_id[connection_id] = flow
+        self._ids_by_flow[flow].add(connection_id)
+
+    def _unregister(self, flow: _flows.Flow, connection_id: bytes) -> None:
+        self._flow_by_connection_id.pop(connection_id, None)
+        self._ids_by_flow.get(flow, set()).discard(connection_id)
+
+    def _on_flow_gone(self, flow: _flows.Flow) -> None:
+        self._admission.release(flow)
+        for connection_id in self._ids_by_flow.pop(flow, ()):
+            self._flow_by_connection_id.pop(connection_id, None)
+
+    def _send(self, flow: _flows.Flow, payload: bytes, caller: tuple[str, int]) -> None:
+        """Send a datagram of a flow to its caller through a live entry."""
+        entry = self._answers.choose(
+            flow.entry,
+            flow.heard_at,
+            self._control.entries,
+            self._clock(),
+        )
+        if entry is None:
+            self._figures.count('answers_without_entry')
+            return
+        envelope = packets.Envelope(
+            flow.service_address,
+            addresses.Address(caller[0], caller[1]),
+            payload,
+        )
+        self._data.send(packets.encode(envelope), entry)
+
+    def _answer(
+        self,
+        envelope: packets.Envelope,
+        payload: bytes,
+        entry: addresses.Address,
+    ) -> None:
+        """Send one datagram back to a caller that has no flow here."""
+        answer = packets.Envelope(envelope.destination, envelope.source, payload)
+        self._data.send(packets.encode(answer), entry)
+
+    def _drop(self, reason: str, sender: tuple[str, int], detail: str) -> None:
+        self._figures.count(f'packets_dropped_{reason}')
+        self._logged_by_reason[reason] += 1
+        if self._logged_by_reason[reason] <= LOGGED_PER_REASON:
+            logs.get().warning(
+                'packet_dropped',
+                reason=reason,
+                sender=str(addresses.Address(*sender)),
+                detail=detail,
+            )
+
+    # Requests
+
+    def _on_request(self, stream: _flows.Stream) -> None:
+        self._admission.release(stream.flow)
+        self._requests.accept(stream, self._control.service)
+
+    # Control
+
+    def _on_message(self, message: object) -> list:
+        found = self._control.receive(message, self._clock())
+        self._note_configuration()
+        return found
+
+    def _note_configuration(self) -> None:
+        """Follow the service's section: its limits, and whether it lets us serve."""
+        if not self._control.in_force.generation:
+            return
+        service = self._control.service
+        if service is None or not service.may_serve(self._given.name):
+            if self._lifecycle.send('unconfigured'):
+                self._after_unconfigured()
+            return
+        self._dispatcher.set_limits(self._given.slots, service.queue_limit)
+        self._lifecycle.send('configured')
+
+    def _after_unconfigured(self) -> None:
+        if self._lifecycle.state == 'draining':
+            self._begin_drain()
+
+    def _tick(self) -> None:
+        now = self._clock()
+        self._requests.expire()
+        fitness = round(self._health.weight(now) * membership.FULL_WEIGHT)
+        self._links.apply(self._control.change(now, fitness=fitness))
+        self._links.apply(self._control.tick(now))
+        self._links.close_idle()
+        if self._lifecycle.state == 'draining':
+            self._continue_drain(now)
+
+    def _continue_drain(self, now: float) -> None:
+        waited = now - self._drain_began_at
+        for flow in list(self._ids_by_flow):
+            flow.go_away()
+            if flow.is_idle and waited >= IDLE_GRACE_SECONDS:
+                flow.close()
+        if not self._ids_by_flow and waited >= IDLE_GRACE_SECONDS:
+            self._leave('empty')
+        elif waited >= self._given.drain_seconds:
+            logs.get().warning('drain_is_overdue', flows=len(self._ids_by_flow))
+            self._leave('overdue')
+
+    def _leave(self, event: str) -> None:
+        if self._lifecycle.send(event):
+            gone = self._control.change(self._clock(), state=membership.State.GONE)
+            self._links.apply(gone)
+            ioloop.IOLoop.current().call_later(LEAVE_SECONDS, self._stopped.set)
+
+    async def _poll_health(self) -> None:
+        """Ask the backend server how it is; its outcomes count for more."""
+        client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+        url = f'http://{self._given.backend}/health'
+        while True:
+            try:
+                response = await client.fetch(url, request_timeout=HEALTH_CALL_SECONDS)
+                claim = msgspec.json.decode(response.body, type=BackendHealth)
+                self._take_claim(claim)
+            except (OSError, httpclient.HTTPError, msgspec.DecodeError):
+                self._health.claimed(is_healthy=False)
+                self._figures.count('health_calls_failed')
+            await asyncio.sleep(HEALTH_SECONDS)
+
+    def _take_claim(self, claim: BackendHealth) -> None:
+        self._health.claimed(claim.healthy)
+        if claim.state == 'draining':
+            self.drain()
+        elif claim.state == 'warm' and self._lifecycle.send('warm'):
+            now = self._clock()
+            self._links.apply(self._control.change(now, state=membership.State.SERVING))
+
+    async def _find_entries(self) -> None:
+        """Read the registry of entries while no entry has answered."""
+        if not self._given.platform:
+            return
+        service = platform.Platform(self._given.platform)
+        while True:
+            await asyncio.sleep(agent_control.HOME_SILENT_SECONDS)
+            if self._control.has_home(self._clock()):
+                continue
+            try:
+                items = await service.list_prefix(ENTRIES_PREFIX)
+            except errors.PlatformUnavailableError as error:
+                logs.get().warning('registry_unavailable', error=str(error))
+                continue
+            self._control.add_seeds([addresses.parse(item.value) for item in items])
--- /dev/null
+++ b/src/egretjunction/caller.py
@@ -0,0 +1,366 @@
+"""The caller library: requests with deadline and verdict, feeds that resume."""
+
+import asyncio
+import random
+import time
+import typing
+import uuid
+
+from egretjunction import _caller_flow
+from egretjunction import _headers
+from egretjunction import _quic
+from egretjunction import addresses
+from egretjunction import verdicts
+from egretjunction.decisions import retries
+
+DEFAULT_DEADLINE_SECONDS = 30.0
+FEED_RETRY_SECONDS = 0.2
+FEED_CONNECT_SECONDS = 5.0
+IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+HTTP_OK = 200
+HTTP_SERVER_ERROR = 500
+
+
+class Outcome:
+    """What became of a request.
+
+    :param verdict: whether it may have run.
+    :param status: HTTP status, 0 when there was no answer.
+    :param headers: fields of the answer, pseudo-headers included.
+    :param body: body of the answer.
+    :param attempts: how often it was tried.
+    :param seconds: time from the call to the outcome.
+    :param reason: short text when there is no usable answer.
+    """
+
+    __slots__ = ('attempts', 'body', 'headers', 'reason', 'seconds', 'status', 'verdict')
+
+    def __init__(
+        self,
+        verdict: verdicts.Verdict,
+        status: int = 0,
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+        reason: str = '',
+    ) -> None:
+        self.verdict = verdict
+        self.status = status
+        self.headers = headers or {}
+        self.body = body
+        self.reason = reason
+        self.attempts = 1
+        self.seconds = 0.0
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether the backend server gave a whole answer."""
+        return self.verdict is verdicts.Verdict.RAN and bool(self.status)
+
+
+class Update:
+    """One event of a feed.
+
+    :param event_id: the server's number of the event.
+    :param text: its data.
+    """
+
+    __slots__ = ('event_id', 'text')
+
+    def __init__(self, event_id: int, text: str) -> None:
+        self.event_id = event_id
+        self.text = text
+
+
+class _Call:
+    """The parts of a request that stay the same for each attempt."""
+
+    __slots__ = ('body', 'deadline', 'headers', 'is_idempotent', 'method', 'path')
+
+    def __init__(  # noqa: PLR0913
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        deadline: float,
+        is_idempotent: bool,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.deadline = deadline
+        self.is_idempotent = is_idempotent
+
+
+class Caller:
+    """A customer of one service; it keeps one connection for requests.
+
+    :param service: address of the service.
+    :param server_name: name in the service's certificate.
+    :param authority_file: PEM file of the authority that signed it.
+    :param seed: seed of the random spread of retries, None for a random one.
+    """
+
+    def __init__(
+        self,
+        service: addresses.Address,
+        server_name: str,
+        authority_file: str,
+        seed: int | None = None,
+    ) -> None:
+        self._service = service
+        self._server_name = server_name
+        self._authority_file = authority_file
+        self._random = random.Random(seed)  # noqa: S311
+        self._budget = retries.Budget()
+        self._flow: _caller_flow.CallerFlow | None = None
+        self._flow_lock = asyncio.Lock()
+        self.connected_count = 0
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+        deadline_seconds: float = DEFAULT_DEADLINE_SECONDS,
+        is_idempotent: bool | None = None,
+    ) -> Outcome:
+        """Make a request; what was not run is tried again within the deadline.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param headers: further header fields, with lower-case names.
+        :param body: the whole body.
+        :param deadline_seconds: time until the caller stops waiting.
+        :param is_idempotent: whether it may run twice; by default the method says.
+        """
+        started = time.monotonic()
+        fields = {_headers.REQUEST_ID: uuid.uuid4().hex, **(headers or {})}
+        if is_idempotent is None:
+            is_idempotent = method in IDEMPOTENT_METHODS
+        call = _Call(
+            method=method,
+            path=path,
+            headers=fields,
+            body=body,
+            deadline=started + deadline_seconds,
+            is_idempotent=is_idempotent,
+        )
+        self._budget.deposit()
+        outcome = await self._attempt_until_settled(call)
+        outcome.seconds = time.monotonic() - started
+        return outcome
+
+    async def feed(self, path: str, last_id: int = -1) -> typing.AsyncIterator[Update]:
+        """Yield the updates of a feed, each once and in order, until closed.
+
+        The feed moves to another backend server when its own one leaves, and
+        goes on after the last update that was yielded.
+
+        :param path: path of the feed.
+        :param last_id: number of the last update that the caller has.
+        """
+        while True:
+            try:
+                async for update in self._feed_once(path, last_id):
+                    if update.event_id > last_id:
+                        last_id = update.event_id
+                        yield update
+            except _caller_flow.FlowError:
+                await asyncio.sleep(FEED_RETRY_SECONDS * (1 + self._random.random()))
+
+    async def close(self) -> None:
+        """Close the connection that is kept."""
+        self._drop_flow()
+        await asyncio.sleep(0)
+
+    async def _attempt_until_settled(self, call: _Call) -> Outcome:
+        attempts = 0
+        while True:
+            attempts += 1
+            outcome = await self._attempt(call)
+            outcome.attempts = attempts
+            if outcome.is_answered:
+                return outcome
+            delay = retries.delay_before_retry(
+                retries.Failure(outcome.verdict, attempts, _retry_after(outcome)),
+                call.is_idempotent,
+                call.deadline - time.monotonic(),
+                self._budget,
+                self._random.random(),
+            )
+            if delay is None:
+                return outcome
+            await asyncio.sleep(delay)
+            self._drop_flow()
+
+    async def _attempt(self, call: _Call) -> Outcome:
+        left = call.deadline - time.monotonic()
+        sent: list[_caller_flow.Answer] = []
+        try:
+            return await asyncio.wait_for(self._exchange(call, sent), left)
+        except TimeoutError:
+            verdict = sent[0].verdict if sent else verdicts.Verdict.NOT_RUN
+            return Outcome(verdict, reason='deadline has passed')
+        except _caller_flow.FlowError as error:
+            return Outcome(error.verdict, reason=str(error))
+
+    async def _exchange(
+        self,
+        call: _Call,
+        sent: list[_caller_flow.Answer],
+    ) -> Outcome:
+        flow = await self._usable_flow()
+        left_ms = int((call.deadline - time.monotonic()) * _headers.MS_PER_SECOND)
+        fields = {**call.headers, _headers.DEADLINE_MS: str(max(1, left_ms))}
+        pairs = self._pairs(call.method, call.path, fields, len(call.body))
+        stream_id, answer = await flow.send(pairs, call.body, sent)
+        try:
+            await answer.whole()
+        finally:
+            flow.cancel(stream_id)
+        return Outcome(
+            answer.verdict,
+            answer.status,
+            answer.headers,
+            bytes(answer.body),
+            answer.headers.get(_headers.REASON, ''),
+        )
+
+    def _pairs(
+        self,
+        method: str,
+        path: str,
+        fields: dict[str, str],
+        body_bytes: int,
+    ) -> _headers.Pairs:
+        pairs = [
+            (b':method', method.encode()),
+            (b':scheme', b'https'),
+            (b':authority', self._server_name.encode()),
+            (b':path', path.encode()),
+        ]
+        pairs.extend((name.encode(), text.encode()) for name, text in fields.items())
+        if body_bytes:
+            pairs.append((b'content-length', str(body_bytes).encode()))
+        return pairs
+
+    async def _usable_flow(self) -> _caller_flow.CallerFlow:
+        async with self._flow_lock:
+            if self._flow is None or not self._flow.is_usable:
+                self._drop_flow()
+                self._flow = await self._connect()
+            return self._flow
+
+    async def _connect(self) -> _caller_flow.CallerFlow:
+        self.connected_count += 1
+        configuration = _quic.client_configuration(
+            self._server_name,
+            self._authority_file,
+        )
+        return await _caller_flow.connect(self._service, configuration)
+
+    def _drop_flow(self) -> None:
+        flow = self._flow
+        self._flow = None
+        if flow is None:
+            return
+        if flow.is_idle:
+            _caller_flow.close(flow)
+        else:
+            asyncio.get_running_loop().create_task(_close_when_idle(flow))
+
+    async def _feed_once(
+        self,
+        path: str,
+        last_id: int,
+    ) -> typing.AsyncIterator[Update]:
+        """Yield updates from one connection until its server leaves."""
+        flow = await self._connect()
+        fields = {'accept': 'text/event-stream'}
+        if last_id >= 0:
+            fields['last-event-id'] = str(last_id)
+        try:
+            pairs = self._pairs('GET', path, fields, 0)
+            stream_id, answer = await flow.send(pairs, b'', [])
+            async for update in _updates(flow, answer):
+                yield update
+            flow.cancel(stream_id)
+        finally:
+            _caller_flow.close(flow)
+
+
+async def _updates(
+    flow: _caller_flow.CallerFlow,
+    answer: _caller_flow.Answer,
+) -> typing.AsyncIterator[Update]:
+    """Parse server-sent events until the server asks the caller to move."""
+    idle = asyncio.create_task(_keep_alive(flow))
+    try:
+        while not answer.is_complete and not flow.is_leaving:
+            for update in _take_events(answer):
+                yield update
+            await _wait_for_either(answer, flow)
+            if answer.status >= HTTP_SERVER_ERROR:
+                raise _caller_flow.FlowError('feed was refused', answer.verdict)
+        for update in _take_events(answer):
+            yield update
+    finally:
+        idle.cancel()
+
+
+async def _wait_for_either(
+    answer: _caller_flow.Answer,
+    flow: _caller_flow.CallerFlow,
+) -> None:
+    """Wait for more of the answer or for the server's wish to leave."""
+    waits = [
+        asyncio.create_task(answer.wait()),
+        asyncio.create_task(flow.left.wait()),
+    ]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for each in waits:
+            each.cancel()
+    if waits[0].done() and not waits[0].cancelled():
+        waits[0].result()
+
+
+async def _keep_alive(flow: _caller_flow.CallerFlow) -> None:
+    while True:
+        await asyncio.sleep(_caller_flow.KEEP_ALIVE_SECONDS)
+        await flow.ping()
+
+
+async def _close_when_idle(flow: _caller_flow.CallerFlow) -> None:
+    while not flow.is_idle and not flow.is_over:
+        await asyncio.sleep(FEED_RETRY_SECONDS)
+    _caller_flow.close(flow)
+
+
+def _take_events(answer: _caller_flow.Answer) -> list[Update]:
+    """Remove the whole events from the front of a body."""
+    taken = []
+    while True:
+        end = answer.body.find(b'\n\n')
+        if end < 0:
+            return taken
+        block = bytes(answer.body[:end]).decode('utf-8', 'replace')
+        del answer.body[: end + 2]
+        fields = dict(line.split(': ', 1) for line in block.split('\n') if ': ' in line)
+        if fields.get('id', '').isdigit():
+            taken.append(Update(int(fields['id']), fields.get('data', '')))
+
+
+def _retry_after(outcome: Outcome) -> float:
+    """Return the seconds that an answer asked to wait, 0 when it did not."""
+    milliseconds = outcome.headers.get(_headers.RETRY_AFTER_MS, '')
+    if milliseconds.isdigit():
+        return int(milliseconds) / _headers.MS_PER_SECOND
+    seconds = outcome.headers.get('retry-after', '')
+    return float(seconds) if seconds.isdigit() else 0
--- /dev/null
+++ b/src/egretjunction/decisions/agent_control.py
@@ -0,0 +1,176 @@
+"""An agent's part in membership and configuration: messages in, effects out."""
+
+import typing
+
+from egretjunction import addresses
+from egretjunction import errors
+from egretjunction.decisions import configuration
+from egretjunction.decisions import effects
+from egretjunction.decisions import membership
+from egretjunction.wire import messages
+
+HOME_SILENT_SECONDS = 5.0
+
+
+class AgentControl:
+    """State of one agent's control part.
+
+    :param me: this agent's own record.
+    :param seeds: control addresses to begin with.
+    """
+
+    __slots__ = (
+        '_announced_at',
+        '_entries',
+        '_heard_at_by_home',
+        '_homes',
+        '_seeds',
+        'in_force',
+        'me',
+    )
+
+    def __init__(
+        self,
+        me: membership.Member,
+        seeds: typing.Sequence[addresses.Address],
+    ) -> None:
+        self.me = me
+        self.in_force = configuration.InForce()
+        self._seeds = list(seeds)
+        self._homes: list[addresses.Address] = []
+        self._heard_at_by_home: dict[addresses.Address, float] = {}
+        self._entries: list[addresses.Address] = []
+        self._announced_at = float('-inf')
+
+    @property
+    def service(self) -> configuration.Service | None:
+        """Return the section of this agent's service, None while it has none."""
+        return self.in_force.document.services.get(self.me.service)
+
+    @property
+    def entries(self) -> list[addresses.Address]:
+        """Return data addresses of entries that can carry answers."""
+        return self._entries
+
+    def has_home(self, now: float) -> bool:
+        """Tell whether a home entry has answered lately."""
+        return any(not self._is_silent(home, now) for home in self._homes)
+
+    def add_seeds(self, found: typing.Iterable[addresses.Address]) -> None:
+        """Remember more entries to begin with."""
+        self._seeds = sorted({*self._seeds, *found})
+
+    def homes(self, now: float) -> list[addresses.Address]:
+        """Return where to announce: live homes, filled up from the seeds."""
+        live = [home for home in self._homes if not self._is_silent(home, now)]
+        if len(live) >= membership.HOME_COUNT:
+            return live
+        rest = [seed for seed in self._seeds if seed not in live]
+        return live + rest[: membership.HOME_COUNT + 1]
+
+    def change(
+        self,
+        now: float,
+        *,
+        state: membership.State | None = None,
+        fitness: int | None = None,
+    ) -> list[effects.Effect]:
+        """Take a new state or fitness and announce it at once."""
+        changed = self.me.changed(
+            state=state,
+            fitness=fitness,
+            sequence=self.me.sequence + 1,
+        )
+        if changed.state is self.me.state and changed.fitness == self.me.fitness:
+            return []
+        self.me = changed
+        return self._announce(now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Announce when it is due."""
+        if now - self._announced_at < membership.ANNOUNCE_SECONDS:
+            return []
+        return self._announce(now)
+
+    def receive(self, message: messages.Message, now: float) -> list[effects.Effect]:
+        """Handle one control message of an entry.
+
+        :raises errors.PacketError: when a record in it is malformed.
+        """
+        if isinstance(message, messages.Welcome):
+            return self._on_welcome(message, now)
+        if isinstance(message, messages.ConfigurationSnapshot):
+            return self._on_snapshot(message)
+        return []
+
+    def _announce(self, now: float) -> list[effects.Effect]:
+        self._announced_at = now
+        record = messages.to_record(self.me)
+        message = messages.Announce(record, self.in_force.generation)
+        return [effects.SendTo(home, message) for home in self.homes(now)]
+
+    def _is_silent(self, home: addresses.Address, now: float) -> bool:
+        heard_at = self._heard_at_by_home.setdefault(home, now)
+        return now - heard_at >= HOME_SILENT_SECONDS
+
+    def _on_welcome(
+        self,
+        message: messages.Welcome,
+        now: float,
+    ) -> list[effects.Effect]:
+        homes = [messages.to_member(each) for each in message.homes]
+        entries = [messages.to_member(each) for each in message.entries]
+        self._homes = [home.control for home in homes]
+        self._entries = sorted({each.address for each in [*homes, *entries]})
+        for home in homes:
+            self._heard_at_by_home[home.control] = now
+        found: list[effects.Effect] = []
+        known = messages.to_member(message.known)
+        if known.version > self.me.version:
+            found.extend(self._refute(known, now))
+        if message.generation > self.in_force.generation:
+            wanted = messages.ConfigurationWanted(
+                messages.to_record(self.me),
+                self.in_force.generation,
+                self.me.service,
+            )
+            found.append(effects.Reply(wanted))
+        return found
+
+    def _refute(
+        self,
+        known: membership.Member,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Replace a newer record about this agent that it did not make.
+
+        A record with a higher incarnation is of a process that ran here before
+        with a clock ahead of ours: connection IDs must not repeat, so this
+        process cannot take that incarnation and asks to be restarted.
+        """
+        if known.incarnation > self.me.incarnation:
+            return [effects.Log('incarnation_is_behind', known=known.incarnation)]
+        self.me = self.me.changed(sequence=known.sequence + 1)
+        return [
+            effects.Log('gone_record_refuted', sequence=self.me.sequence),
+            *self._announce(now),
+        ]
+
+    def _on_snapshot(
+        self,
+        message: messages.ConfigurationSnapshot,
+    ) -> list[effects.Effect]:
+        before = self.in_force.generation
+        try:
+            is_newer = self.in_force.replace(message.change, message.text)
+        except (errors.EgretjunctionError, ExceptionGroup) as error:
+            return [effects.Log('configuration_refused', error=str(error))]
+        if not is_newer:
+            return []
+        log = effects.Log(
+            'configuration_in_force',
+            generation=self.in_force.generation,
+            before=before,
+            change_id=self.in_force.change_id,
+        )
+        return [log]
--- /dev/null
+++ b/src/egretjunction/decisions/effects.py
@@ -0,0 +1,36 @@
+"""What the control decisions ask the daemon to do."""
+
+from egretjunction import addresses
+from egretjunction.wire import messages
+
+
+class SendTo:
+    """Send a message to the control address of an entry."""
+
+    __slots__ = ('address', 'message')
+
+    def __init__(self, address: addresses.Address, message: messages.Message) -> None:
+        self.address = address
+        self.message = message
+
+
+class Reply:
+    """Send a message back to where the last one came from."""
+
+    __slots__ = ('message',)
+
+    def __init__(self, message: messages.Message) -> None:
+        self.message = message
+
+
+class Log:
+    """Write one event to the log."""
+
+    __slots__ = ('event', 'fields')
+
+    def __init__(self, event: str, **fields: object) -> None:
+        self.event = event
+        self.fields = fields
+
+
+Effect = SendTo | Reply | Log
--- /dev/null
+++ b/src/egretjunction/decisions/entry_control.py
@@ -0,0 +1,343 @@
+"""An entry's part in membership and configuration: messages in, effects out."""
+
+import typing
+
+import msgspec
+
+from egretjunction import errors
+from egretjunction.decisions import configuration
+from egretjunction.decisions import domains
+from egretjunction.decisions import effects
+from egretjunction.decisions import membership
+from egretjunction.wire import messages
+
+TICK_SECONDS = 1.0
+PAUSE_SECONDS = 3.0
+NEIGHBOUR_COUNT = 4
+RECORDS_PER_MESSAGE = 8
+REPAIR_BUCKETS = 8
+ENTRIES_IN_WELCOME = 4
+
+
+class EntryControl:
+    """State of one entry's control part.
+
+    :param me: this entry's own record.
+    """
+
+    __slots__ = (
+        '_announced_at',
+        '_digest_at',
+        '_rumors',
+        '_seeds',
+        '_ticked_at',
+        'domains',
+        'duty',
+        'in_force',
+        'me',
+        'view',
+    )
+
+    def __init__(self, me: membership.Member, seeds: typing.Sequence) -> None:
+        self.me = me
+        self.view = membership.View()
+        self.duty = membership.HomeDuty()
+        self.domains = domains.Domains(me.domain)
+        self.in_force = configuration.InForce()
+        self._seeds = [seed for seed in seeds if seed != me.control]
+        self._rumors = membership.Rumors()
+        self._announced_at = float('-inf')
+        self._digest_at = float('-inf')
+        self._ticked_at: float | None = None
+        self.view.merge(me, 0)
+
+    def change_state(self, state: membership.State, now: float) -> list[effects.Effect]:
+        """Take a new state and tell the neighbours at once."""
+        self._renew(state, self.me.sequence + 1, now)
+        return [*self._announce(now), *self._spread(now)]
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Do what is due; to be called about every ``TICK_SECONDS``."""
+        paused = self._ticked_at is not None and now - self._ticked_at > PAUSE_SECONDS
+        self._ticked_at = now
+        found: list[effects.Effect] = []
+        if paused:
+            self.duty.resumed(now)
+            self.domains.resumed(now)
+            found.append(effects.Log('process_was_paused'))
+        for gone in self.duty.expired(self.view, self.me.name, now):
+            found.extend(self._merge(gone, now))
+        self.view.forget(now)
+        if now - self._announced_at >= membership.ANNOUNCE_SECONDS:
+            found.extend(self._announce(now))
+        if now - self._digest_at >= membership.DIGEST_SECONDS:
+            found.extend(self._send_digest(now))
+        return [*found, *self._spread(now)]
+
+    def receive(self, message: messages.Message, now: float) -> list[effects.Effect]:
+        """Handle one control message.
+
+        :raises errors.PacketError: when a record in it is malformed.
+        """
+        handler = _HANDLERS.get(type(message))
+        if handler is None:
+            return []
+        return handler(self, message, now)
+
+    def adopt(
+        self,
+        changes: typing.Sequence[configuration.Change],
+        now: float,
+    ) -> list[effects.Effect]:
+        """Put changes in force that follow the present generation."""
+        before = self.in_force.generation
+        try:
+            is_newer = self.in_force.follow(changes)
+        except (errors.EgretjunctionError, ExceptionGroup) as error:
+            return [effects.Log('configuration_refused', error=str(error))]
+        if not is_newer:
+            return []
+        return self._in_force_effects(before, now)
+
+    def adopt_snapshot(
+        self,
+        change: configuration.Change,
+        text: str,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Put a whole document in force if it is newer."""
+        before = self.in_force.generation
+        try:
+            is_newer = self.in_force.replace(change, text)
+        except (errors.EgretjunctionError, ExceptionGroup) as error:
+            return [effects.Log('configuration_refused', error=str(error))]
+        if not is_newer:
+            return []
+        return self._in_force_effects(before, now)
+
+    def _in_force_effects(self, before: int, now: float) -> list[effects.Effect]:
+        generation = self.in_force.generation
+        log = effects.Log(
+            'configuration_in_force',
+            generation=generation,
+            before=before,
+            change_id=self.in_force.change_id,
+        )
+        return [log, *self._send_digest(now)]
+
+    def _record(self) -> messages.Record:
+        return messages.to_record(self.me)
+
+    def _renew(self, state: membership.State, sequence: int, now: float) -> None:
+        self.me = self.me.changed(state=state, sequence=sequence)
+        self.view.merge(self.me, now)
+        self._rumors.add(self.me.name)
+
+    def _peers(self) -> list:
+        """Return the control addresses of this entry's neighbours."""
+        entries = self.view.entries()
+        names = membership.neighbours_of(self.me.name, entries, NEIGHBOUR_COUNT)
+        control_by_name = {entry.name: entry.control for entry in entries}
+        known = [control_by_name[name] for name in names if name in control_by_name]
+        return known or list(self._seeds)
+
+    def _announce(self, now: float) -> list[effects.Effect]:
+        self._announced_at = now
+        message = messages.Announce(self._record(), self.in_force.generation)
+        homes = membership.homes_of(self.me.name, self.view.entries())
+        targets = [home.control for home in homes] or self._seeds
+        return [effects.SendTo(target, message) for target in targets]
+
+    def _send_digest(self, now: float) -> list[effects.Effect]:
+        self._digest_at = now
+        message = messages.Digest(
+            self._record(),
+            self.view.root(),
+            self.in_force.generation,
+            self.domains.ages(now),
+        )
+        return [effects.SendTo(peer, message) for peer in self._peers()]
+
+    def _spread(self, now: float) -> list[effects.Effect]:
+        names = self._rumors.take(RECORDS_PER_MESSAGE)
+        known = [self.view.get(name) for name in names]
+        records = tuple(messages.to_record(each) for each in known if each is not None)
+        if not records:
+            return []
+        message = messages.Deltas(records)
+        return [effects.SendTo(peer, message) for peer in self._peers()]
+
+    def _merge(self, member: membership.Member, now: float) -> list[effects.Effect]:
+        """Take one record in; a wrong record about this entry is refuted."""
+        if member.name == self.me.name:
+            if member.version > self.me.version:
+                incarnation = max(member.incarnation, self.me.incarnation)
+                self.me = self.me.changed(incarnation=incarnation)
+                self._renew(self.me.state, member.sequence + 1, now)
+            return []
+        before = self.view.get(member.name)
+        if not self.view.merge(member, now):
+            return []
+        self._rumors.add(member.name)
+        if before is not None and before.state is member.state:
+            return []
+        return [
+            effects.Log(
+                'member_changed',
+                member=member.name,
+                state=member.state.value,
+                incarnation=member.incarnation,
+            ),
+        ]
+
+    def _merge_all(
+        self,
+        records: typing.Iterable[messages.Record],
+        now: float,
+    ) -> list[effects.Effect]:
+        found: list[effects.Effect] = []
+        for record in records:
+            found.extend(self._merge(messages.to_member(record), now))
+        return found
+
+    def _hear(self, record: messages.Record, now: float) -> list[effects.Effect]:
+        """Note that a message came straight from this member."""
+        self.domains.heard(record.domain, now)
+        return self._merge_all([record], now)
+
+    def _on_announce(
+        self,
+        message: messages.Announce,
+        now: float,
+    ) -> list[effects.Effect]:
+        found = self._hear(message.record, now)
+        name = message.record.name
+        self.duty.heard(name, now)
+        entries = self.view.entries()
+        step = max(1, len(entries) // ENTRIES_IN_WELCOME)
+        start = membership.bucket_of(name) % step
+        welcome = messages.Welcome(
+            messages.to_record(typing.cast('membership.Member', self.view.get(name))),
+            self.in_force.generation,
+            tuple(
+                messages.to_record(home) for home in membership.homes_of(name, entries)
+            ),
+            tuple(
+                messages.to_record(entry)
+                for entry in entries[start::step][:ENTRIES_IN_WELCOME]
+            ),
+        )
+        found.append(effects.Reply(welcome))
+        if message.generation > self.in_force.generation:
+            found.append(self._want_configuration())
+        return found
+
+    def _on_deltas(self, message: messages.Deltas, now: float) -> list[effects.Effect]:
+        return self._merge_all(message.records, now)
+
+    def _on_digest(self, message: messages.Digest, now: float) -> list[effects.Effect]:
+        found = self._hear(message.sender, now)
+        self.domains.merge(message.ages, now)
+        if message.generation > self.in_force.generation:
+            found.append(self._want_configuration())
+        elif message.generation < self.in_force.generation:
+            found.append(self._configuration_after(message.generation, ''))
+        if message.root != self.view.root():
+            buckets = messages.Buckets(self._record(), self.view.packed_digest())
+            found.append(effects.Reply(buckets))
+        return found
+
+    def _on_buckets(self, message: messages.Buckets, now: float) -> list[effects.Effect]:
+        found = self._hear(message.sender, now)
+        buckets = self.view.differing(message.hashes)[:REPAIR_BUCKETS]
+        if buckets:
+            found.append(self._repair(buckets, wants_answer=True))
+        return found
+
+    def _on_repair(self, message: messages.Repair, now: float) -> list[effects.Effect]:
+        found = self._hear(message.sender, now)
+        found.extend(self._merge_all(message.records, now))
+        if message.wants_answer:
+            found.append(self._repair(message.buckets, wants_answer=False))
+        return found
+
+    def _repair(
+        self,
+        buckets: typing.Sequence[int],
+        *,
+        wants_answer: bool,
+    ) -> effects.Reply:
+        members = self.view.members_in(buckets[:REPAIR_BUCKETS])
+        records = tuple(messages.to_record(member) for member in members)
+        repair = messages.Repair(self._record(), tuple(buckets), records, wants_answer)
+        return effects.Reply(repair)
+
+    def _want_configuration(self) -> effects.Reply:
+        generation = self.in_force.generation
+        wanted = messages.ConfigurationWanted(self._record(), generation, '')
+        return effects.Reply(wanted)
+
+    def _on_wanted(
+        self,
+        message: messages.ConfigurationWanted,
+        now: float,
+    ) -> list[effects.Effect]:
+        found = self._hear(message.sender, now)
+        if message.generation < self.in_force.generation:
+            answer = self._configuration_after(message.generation, message.service)
+            found.append(answer)
+        return found
+
+    def _configuration_after(self, generation: int, service: str) -> effects.Reply:
+        """Return the changes after a generation, or a snapshot."""
+        if service:
+            return effects.Reply(self._service_snapshot(service))
+        changes = self.in_force.changes_after(generation)
+        if changes is not None:
+            return effects.Reply(messages.ConfigurationChanges(changes))
+        last = msgspec.structs.replace(self._last_change(), sections={})
+        text = self.in_force.document.text()
+        return effects.Reply(messages.ConfigurationSnapshot(last, text))
+
+    def _last_change(self) -> configuration.Change:
+        return self.in_force.recent[-1]
+
+    def _service_snapshot(self, service: str) -> messages.ConfigurationSnapshot:
+        """Return the part of the document that one service's agents need."""
+        document = self.in_force.document
+        found = document.services.get(service)
+        wanted = []
+        if found is not None:
+            wanted.append(configuration.SERVICE_PREFIX + service)
+            wanted.append(configuration.TEAM_PREFIX + found.team)
+        text = configuration.join(
+            {name: document.sections[name] for name in wanted},
+        )
+        last = msgspec.structs.replace(self._last_change(), sections={})
+        return messages.ConfigurationSnapshot(last, text)
+
+    def _on_changes(
+        self,
+        message: messages.ConfigurationChanges,
+        now: float,
+    ) -> list[effects.Effect]:
+        return self.adopt(message.changes, now)
+
+    def _on_snapshot(
+        self,
+        message: messages.ConfigurationSnapshot,
+        now: float,
+    ) -> list[effects.Effect]:
+        return self.adopt_snapshot(message.change, message.text, now)
+
+
+_HANDLERS: dict[type, typing.Callable] = {
+    messages.Announce: EntryControl._on_announce,  # noqa: SLF001
+    messages.Deltas: EntryControl._on_deltas,  # noqa: SLF001
+    messages.Digest: EntryControl._on_digest,  # noqa: SLF001
+    messages.Buckets: EntryControl._on_buckets,  # noqa: SLF001
+    messages.Repair: EntryControl._on_repair,  # noqa: SLF001
+    messages.ConfigurationWanted: EntryControl._on_wanted,  # noqa: SLF001
+    messages.ConfigurationChanges: EntryControl._on_changes,  # noqa: SLF001
+    messages.ConfigurationSnapshot: EntryControl._on_snapshot,  # noqa: SLF001
+}
--- /dev/null
+++ b/src/egretjunction/decisions/health.py
@@ -0,0 +1,84 @@
+"""How fit a backend server is, from observed outcomes before its own claims."""
+
+import typing
+
+FAILURES_PER_STEP = 3
+RECOVER_SECONDS = 2.0
+CLAIM_SHARE = 0.5
+EVIDENCE_SECONDS = 5.0
+LEVELS = (1.0, 0.5, 0.25, 0.0)
+MAX_EJECTED_SHARE = 0.5
+
+
+class Health:
+    """Fitness of one backend server, kept by the agent beside it.
+
+    Every few failures in a row lower it by one step; time without a failure
+    raises it by one step again. A claim of the health endpoint counts only
+    while there are no recent outcomes, and then it halves the weight at most.
+    """
+
+    __slots__ = ('_changed_at', '_claims_healthy', '_failures', '_outcome_at', '_step')
+
+    def __init__(self) -> None:
+        self._step = 0
+        self._failures = 0
+        self._changed_at = float('-inf')
+        self._outcome_at = float('-inf')
+        self._claims_healthy = True
+
+    def succeeded(self, now: float) -> None:
+        """Record an answer of the backend server, whatever its status."""
+        self._failures = 0
+        self._outcome_at = now
+        self._recover(now)
+
+    def failed(self, now: float) -> None:
+        """Record a refused connection, a time-out or a broken answer."""
+        self._outcome_at = now
+        self._failures += 1
+        if self._failures >= FAILURES_PER_STEP:
+            self._failures = 0
+            self._step = min(len(LEVELS) - 1, self._step + 1)
+            self._changed_at = now
+
+    def claimed(self, is_healthy: bool) -> None:
+        """Record what the health endpoint says."""
+        self._claims_healthy = is_healthy
+
+    def weight(self, now: float) -> float:
+        """Return the share of new flows that the server should get, 0 to 1."""
+        self._recover(now)
+        observed = LEVELS[self._step]
+        if self._claims_healthy or now - self._outcome_at < EVIDENCE_SECONDS:
+            return observed
+        return observed * CLAIM_SHARE
+
+    def _recover(self, now: float) -> None:
+        if self._step and now - self._changed_at >= RECOVER_SECONDS:
+            self._step -= 1
+            self._changed_at = now
+
+
+class Weighted(typing.Protocol):
+    """A member whose weight may be zero because it is ejected."""
+
+    name: str
+    weight: float
+
+
+def ejections_in_force(
+    members: typing.Sequence[Weighted],
+    max_share: float = MAX_EJECTED_SHARE,
+) -> frozenset[str]:
+    """Return the names of members that are left out, never more than a share.
+
+    When more claim to be unfit, the rest get flows all the same: a wrong health
+    signal that hits everyone must not stop the service.
+
+    :param members: members of one service that are neither gone nor draining.
+    :param max_share: largest share that may be left out.
+    """
+    unfit = sorted(member.name for member in members if member.weight <= 0)
+    allowed = int(len(members) * max_share)
+    return frozenset(unfit[:allowed])
--- /dev/null
+++ b/src/egretjunction/decisions/placement.py
@@ -0,0 +1,169 @@
+"""Where a new flow goes: candidates by rendezvous hash, then truth at the agents."""
+
+import enum
+import math
+import typing
+
+import xxhash
+
+CANDIDATE_COUNT = 4
+LOAD_PER_SLOT = 100
+MAX_LOAD = 65535
+_HASH_RANGE = float(1 << 64)
+
+
+class Choice(typing.Protocol):
+    """What placement needs to know of a backend server."""
+
+    name: str
+    weight: float
+
+
+def candidates(
+    flow_key: bytes,
+    members: typing.Iterable[Choice],
+    count: int = CANDIDATE_COUNT,
+) -> list[Choice]:
+    """Return the members that are asked to take a flow, in their order.
+
+    Weighted rendezvous hashing: a member's share of first places is its share
+    of the weight, and a change of one member moves only the flows of that one.
+
+    :param flow_key: bytes that are the same for every packet of the first flight.
+    :param members: members that may take new flows.
+    :param count: how many to return at most.
+    """
+    scored = []
+    for member in members:
+        if member.weight > 0:
+            digest = xxhash.xxh3_64_intdigest(member.name.encode() + flow_key)
+            uniform = (digest + 1) / (_HASH_RANGE + 1)
+            scored.append((-math.log(uniform) / member.weight, member.name, member))
+    scored.sort(key=lambda each: each[:2])
+    return [member for _, _, member in scored[:count]]
+
+
+def slow_start_weight(age_seconds: float, ramp_seconds: float) -> float:
+    """Return the weight of a server that began to serve some time ago.
+
+    :param age_seconds: seconds since it said that it is warm.
+    :param ramp_seconds: length of the ramp; 0 turns it off.
+    """
+    floor = 0.1
+    if ramp_seconds <= 0 or age_seconds >= ramp_seconds:
+        return 1
+    return max(floor, age_seconds / ramp_seconds)
+
+
+class Action(enum.Enum):
+    """What an agent does with a first packet."""
+
+    TAKE = 'take'
+    PASS = 'pass'
+    REFUSE = 'refuse'
+
+
+class OwnLoad:
+    """What an agent knows of its own backend server.
+
+    :param slots: requests that the backend server runs at once.
+    :param busy: requests that run or wait.
+    :param reserved: accepted flows whose first request has not come yet.
+    :param is_open: whether it takes new flows at all; false when it drains or
+        has no connection left.
+    :param is_fit: whether its health lets it take flows that others could take.
+    """
+
+    __slots__ = ('busy', 'is_fit', 'is_open', 'reserved', 'slots')
+
+    def __init__(
+        self,
+        slots: int,
+        busy: int,
+        reserved: int,
+        *,
+        is_open: bool = True,
+        is_fit: bool = True,
+    ) -> None:
+        self.slots = slots
+        self.busy = busy
+        self.reserved = reserved
+        self.is_open = is_open
+        self.is_fit = is_fit
+
+    def has_free_slot(self) -> bool:
+        """Tell whether a request of a new flow could start at once."""
+        is_usable = self.is_open and self.is_fit
+        return is_usable and self.busy + self.reserved < self.slots
+
+    def level(self) -> int:
+        """Return the load in hundredths of the slots, at most ``MAX_LOAD``."""
+        if not self.is_open:
+            return MAX_LOAD
+        if not self.is_fit:
+            return MAX_LOAD - 1
+        used = self.busy + self.reserved
+        return min(MAX_LOAD - 1, used * LOAD_PER_SLOT // max(1, self.slots))
+
+
+class Decision:
+    """An agent's answer to a first packet.
+
+    :param action: take, pass on, or refuse as not run.
+    :param next_index: index of the candidate to pass it to.
+    :param next_hops: the hop count that the passed packet carries.
+    :param best_index: index of the least loaded candidate seen so far.
+    :param best_load: its load.
+    """
+
+    __slots__ = ('action', 'best_index', 'best_load', 'next_hops', 'next_index')
+
+    def __init__(
+        self,
+        action: Action,
+        next_index: int = 0,
+        next_hops: int = 0,
+        best_index: int = 0,
+        best_load: int = MAX_LOAD,
+    ) -> None:
+        self.action = action
+        self.next_index = next_index
+        self.next_hops = next_hops
+        self.best_index = best_index
+        self.best_load = best_load
+
+
+def decide(
+    own: OwnLoad,
+    hops: int,
+    count: int,
+    best_index: int,
+    best_load: int,
+) -> Decision:
+    """Decide whether an agent takes a flow or passes its first packet on.
+
+    Each candidate takes the flow when it has a free slot. After the last one
+    the packet goes back to the least loaded candidate, which takes it unless it
+    has closed meanwhile. So a packet is sent on at most ``count`` times.
+
+    :param own: the load of this agent's backend server.
+    :param hops: candidates that were asked before this one.
+    :param count: number of candidates.
+    :param best_index: index of the least loaded candidate so far.
+    :param best_load: its load, ``MAX_LOAD`` when none is open.
+    """
+    is_final = hops >= count
+    if own.has_free_slot() or (is_final and own.is_open):
+        return Decision(Action.TAKE)
+    if is_final:
+        return Decision(Action.REFUSE)
+    if own.level() < best_load:
+        best_index = hops
+        best_load = own.level()
+    if hops + 1 < count:
+        return Decision(Action.PASS, hops + 1, hops + 1, best_index, best_load)
+    if best_load >= MAX_LOAD:
+        return Decision(Action.REFUSE)
+    if best_index == hops:
+        return Decision(Action.TAKE)
+    return Decision(Action.PASS, best_index, count, best_index, best_load)
--- /dev/null
+++ b/src/egretjunction/decisions/policy.py
@@ -0,0 +1,41 @@
+"""How a request is treated: feed, small or large, idempotent or not."""
+
+import enum
+
+from egretjunction.decisions import configuration
+from egretjunction.decisions import dispatch
+
+
+class Treatment(enum.Enum):
+    """What a request needs at the agent."""
+
+    FEED = 'feed'
+    SMALL = 'small'
+    LARGE = 'large'
+
+    @property
+    def size(self) -> dispatch.Size:
+        """Return the queue class of a request that needs a slot."""
+        if self is Treatment.LARGE:
+            return dispatch.Size.LARGE
+        return dispatch.Size.SMALL
+
+
+def treatment(
+    service: configuration.Service,
+    path: str,
+    content_length: int | None,
+) -> Treatment:
+    """Classify a request.
+
+    :param service: the section of its service.
+    :param path: path of the request.
+    :param content_length: length of the body when the caller said so.
+    """
+    if configuration.matches_any(path, service.feed_paths):
+        return Treatment.FEED
+    if configuration.matches_any(path, service.large_paths):
+        return Treatment.LARGE
+    if content_length is not None and content_length >= service.large_bytes:
+        return Treatment.LARGE
+    return Treatment.SMALL
--- /dev/null
+++ b/src/egretjunction/entry.py
@@ -0,0 +1,270 @@
+"""The entry daemon: takes packets from the fabric, finds their agent."""
+
+import asyncio
+import collections
+import signal
+import time
+
+import msgspec
+from tornado import ioloop
+
+from egretjunction import _admin
+from egretjunction import _udp
+from egretjunction import addresses
+from egretjunction import control
+from egretjunction import errors
+from egretjunction import lifecycles
+from egretjunction import logs
+from egretjunction import metrics
+from egretjunction import platform
+from egretjunction import settings
+from egretjunction.decisions import configuration
+from egretjunction.decisions import entry_control
+from egretjunction.decisions import incarnations
+from egretjunction.decisions import membership
+from egretjunction.decisions import routing
+from egretjunction.wire import packets
+
+HEAD_KEY = 'config/head'
+ENTRIES_PREFIX = 'entries/'
+LEASE_SECONDS = 60.0
+RETRY_SECONDS = 1.0
+DRAIN_SECONDS = 3.0
+LOGGED_PER_REASON = 5
+
+
+class Entry:
+    """One entry process; it owns its sockets and its state.
+
+    :param given: checked settings.
+    """
+
+    def __init__(self, given: settings.Entry) -> None:
+        self._given = given
+        self._clock = time.monotonic
+        self._key = settings.read_key(given.key_file)
+        self._figures = metrics.Metrics('entry')
+        self._lifecycle = lifecycles.Lifecycle('entry')
+        self._control = entry_control.EntryControl(self._own_record(), given.seeds)
+        self._router = routing.Router(
+            self._key,
+            self._control.view,
+            self._control.in_force,
+            self._control.domains,
+        )
+        self._links = control.Links(
+            self._key,
+            self._on_message,
+            self._figures,
+            self._clock,
+        )
+        self._platform = platform.Platform(given.platform)
+        self._logged_by_reason: collections.Counter[str] = collections.Counter()
+        self._stopped = asyncio.Event()
+        self._head_revision = -1
+
+    async def run(self) -> None:
+        """Serve until a drain has finished."""
+        self._data = _udp.DatagramSocket(self._given.data, self._on_datagram)
+        self._links.listen(self._given.control)
+        self._register_figures()
+        admin = _admin.serve(
+            self._given.admin,
+            self._figures,
+            self._status,
+            self.drain,
+        )
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.drain)
+        ticker = ioloop.PeriodicCallback(
+            self._tick,
+            entry_control.TICK_SECONDS * 1000,
+        )
+        ticker.start()
+        tasks = [
+            asyncio.create_task(self._follow_head()),
+            asyncio.create_task(self._keep_registered()),
+        ]
+        logs.get().info('entry_started', data=str(self._given.data))
+        await self._stopped.wait()
+        for task in tasks:
+            task.cancel()
+        ticker.stop()
+        self._data.close()
+        self._links.close()
+        admin.stop()
+        logs.get().info('entry_stopped')
+
+    def drain(self) -> None:
+        """Leave gracefully: tell the others first, then stop a little later."""
+        if not self._lifecycle.send('drain'):
+            return
+        self._links.apply(
+            self._control.change_state(membership.State.GONE, self._clock()),
+        )
+        ioloop.IOLoop.current().call_later(DRAIN_SECONDS, self._leave)
+
+    def _leave(self) -> None:
+        self._lifecycle.send('quiet')
+        self._stopped.set()
+
+    def _own_record(self) -> membership.Member:
+        return membership.Member(
+            name=self._given.name,
+            kind=membership.Kind.ENTRY,
+            service='',
+            domain=self._given.domain,
+            address=self._given.data,
+            control=self._given.control,
+            incarnation=incarnations.from_clock(time.time()),
+            sequence=0,
+            state=membership.State.SERVING,
+        )
+
+    def _register_figures(self) -> None:
+        self._figures.gauge('members', lambda: len(self._control.view))
+        self._figures.gauge('watched_members', lambda: len(self._control.duty))
+        self._figures.gauge('datagrams_unsent', lambda: self._data.dropped)
+        self._figures.gauge(
+            'configuration_generation',
+            lambda: self._control.in_force.generation,
+        )
+
+    def _status(self) -> dict[str, object]:
+        view = self._control.view
+        services = self._control.in_force.document.services
+        return {
+            'name': self._given.name,
+            'state': self._lifecycle.state,
+            'domain': self._given.domain,
+            'generation': self._control.in_force.generation,
+            'change_id': self._control.in_force.change_id,
+            'entries': [entry.name for entry in view.entries()],
+            'agents': {
+                name: {
+                    agent.name: {
+                        'state': agent.state.value,
+                        'fitness': agent.fitness,
+                        'incarnation': agent.incarnation,
+                        'sequence': agent.sequence,
+                        'address': str(agent.address),
+                    }
+                    for agent in view.agents(name)
+                }
+                for name in services
+            },
+        }
+
+    def _on_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        try:
+            envelope = packets.decode(datagram)
+        except errors.PacketError as error:
+            self._drop('malformed', sender, str(error))
+            return
+        if self._router.service_at(envelope.source) is not None:
+            self._figures.count('packets_to_callers')
+            self._data.send(datagram, self._given.fabric)
+            return
+        found = self._router.route(envelope.destination, envelope.payload, self._clock())
+        if isinstance(found, routing.Drop):
+            self._drop(found.reason, sender, str(envelope.destination))
+            return
+        envelope.placement = packets.Placement(
+            0,
+            0,
+            packets.NO_LOAD_SEEN,
+            self._given.data,
+            found.candidates,
+        )
+        self._figures.count('packets_to_agents')
+        self._data.send(packets.encode(envelope), found.address)
+
+    def _drop(self, reason: str, sender: tuple[str, int], detail: str) -> None:
+        self._figures.count(f'packets_dropped_{reason}')
+        self._logged_by_reason[reason] += 1
+        if self._logged_by_reason[reason] <= LOGGED_PER_REASON:
+            logs.get().warning(
+                'packet_dropped',
+                reason=reason,
+                sender=str(addresses.Address(*sender)),
+                detail=detail,
+            )
+
+    def _on_message(self, message: object) -> list:
+        found = self._control.receive(message, self._clock())
+        self._note_configured()
+        return found
+
+    def _tick(self) -> None:
+        self._links.apply(self._control.tick(self._clock()))
+        self._links.close_idle()
+
+    def _note_configured(self) -> None:
+        if self._control.in_force.generation:
+            self._lifecycle.send('configured')
+
+    async def _follow_head(self) -> None:
+        """Watch the head of the configuration; outages only delay changes."""
+        was_available = True
+        while not self._stopped.is_set():
+            try:
+                item = await self._platform.watch(HEAD_KEY, self._head_revision)
+                await self._take_head(item)
+                was_available = True
+            except errors.PlatformUnavailableError as error:
+                if was_available:
+                    logs.get().warning('platform_unavailable', error=str(error))
+                was_available = False
+                self._figures.count('platform_failures')
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _take_head(self, item: platform.Item) -> None:
+        self._head_revision = item.revision
+        if not item.value:
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        try:
+            head = msgspec.json.decode(item.value, type=configuration.Head)
+        except msgspec.DecodeError as error:
+            logs.get().error('head_unreadable', error=str(error))
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        generation = self._control.in_force.generation
+        if head.generation < generation:
+            logs.get().warning('platform_answered_with_old_head', generation=head.generation)
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        self._links.apply(self._control.adopt(head.recent, self._clock()))
+        if self._control.in_force.generation < head.generation:
+            await self._take_snapshot(head)
+        self._note_configured()
+
+    async def _take_snapshot(self, head: configuration.Head) -> None:
+        item = await self._platform.get(head.snapshot_key)
+        if configuration.digest(item.value) != head.snapshot_sha256:
+            logs.get().error('snapshot_is_wrong', key=head.snapshot_key)
+            raise errors.PlatformUnavailableError('snapshot does not match its digest')
+        change = head.recent[-1]
+        found = self._control.adopt_snapshot(change, item.value, self._clock())
+        self._links.apply(found)
+
+    async def _keep_registered(self) -> None:
+        """Keep this entry in the registry under a lease, for new processes."""
+        lease = 0
+        while not self._stopped.is_set():
+            try:
+                lease = await self._register_or_renew(lease)
+                await asyncio.sleep(LEASE_SECONDS / 3)
+            except (errors.PlatformUnavailableError, errors.ConflictError):
+                self._figures.count('platform_failures')
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _register_or_renew(self, lease: int) -> int:
+        if lease and await self._platform.renew_lease(lease):
+            return lease
+        lease = await self._platform.grant_lease(LEASE_SECONDS)
+        key = ENTRIES_PREFIX + self._given.name
+        item = await self._platform.get(key)
+        await self._platform.put(key, str(self._given.control), item.revision, lease)
+        logs.get().info('entry_registered', lease=lease)
+        return lease
--- /dev/null
+++ b/src/egretjunction/lifecycles.py
@@ -0,0 +1,47 @@
+"""Life cycles of daemons, interpreted from the state charts in ``charts/``."""
+
+import importlib.resources
+
+import sismic.interpreter
+import sismic.io
+
+from egretjunction import logs
+
+
+class Lifecycle:
+    """The present state of one state chart.
+
+    :param chart: file name without its suffix, such as ``agent``.
+    """
+
+    __slots__ = ('_interpreter',)
+
+    def __init__(self, chart: str) -> None:
+        folder = importlib.resources.files('egretjunction') / 'charts'
+        text = (folder / f'{chart}.yaml').read_text(encoding='utf-8')
+        statechart = sismic.io.import_from_yaml(text=text)
+        self._interpreter = sismic.interpreter.Interpreter(statechart)
+        self._interpreter.execute()
+
+    @property
+    def state(self) -> str:
+        """Return the name of the innermost active state."""
+        return self._interpreter.configuration[-1]
+
+    def send(self, event: str) -> bool:
+        """Handle an event; one without a transition in this state is ignored.
+
+        :param event: name of the event.
+        :return: whether the state has changed.
+        """
+        before = self.state
+        self._interpreter.queue(event).execute()
+        if self.state == before:
+            return False
+        logs.get().info(
+            'state_changed',
+            before=before,
+            state=self.state,
+            trigger=event,
+        )
+        return True
--- /dev/null
+++ b/src/egretjunction/operators.py
@@ -0,0 +1,224 @@
+"""What operators do with the configuration: apply, show, history, revert."""
+
+import datetime
+import uuid
+
+import msgspec
+
+from egretjunction import errors
+from egretjunction import logs
+from egretjunction import platform
+from egretjunction.decisions import configuration
+
+HEAD_KEY = 'config/head'
+SNAPSHOT_PREFIX = 'config/snapshot/'
+APPLY_ATTEMPTS = 8
+EMPTY = configuration.Document({}, {}, {})
+
+
+class Author:
+    """Who makes a change.
+
+    :param who: name of the operator.
+    :param team: the team that the operator acts for.
+    :param key_sha256: digest of the team's key.
+    :param note: why the change is made.
+    """
+
+    __slots__ = ('key_sha256', 'note', 'team', 'who')
+
+    def __init__(self, who: str, team: str, key_sha256: str, note: str = '') -> None:
+        self.who = who
+        self.team = team
+        self.key_sha256 = key_sha256
+        self.note = note
+
+
+class Accepted:
+    """The accepted configuration as the platform holds it.
+
+    :param head: the head record, None before the first change.
+    :param revision: the platform's revision of the head.
+    :param document: the whole document.
+    """
+
+    __slots__ = ('document', 'head', 'revision')
+
+    def __init__(
+        self,
+        head: configuration.Head | None,
+        revision: int,
+        document: configuration.Document,
+    ) -> None:
+        self.head = head
+        self.revision = revision
+        self.document = document
+
+    @property
+    def generation(self) -> int:
+        """Return the accepted generation, 0 before the first change."""
+        return self.head.generation if self.head else 0
+
+
+async def read(service: platform.Platform) -> Accepted:
+    """Return the accepted configuration.
+
+    :raises errors.PlatformUnavailableError: when the service does not answer.
+    """
+    item = await service.get(HEAD_KEY)
+    if not item.revision:
+        return Accepted(None, 0, EMPTY)
+    head = msgspec.json.decode(item.value, type=configuration.Head)
+    snapshot = await service.get(head.snapshot_key)
+    if configuration.digest(snapshot.value) != head.snapshot_sha256:
+        raise errors.PlatformUnavailableError(
+            f'"{head.snapshot_key}" does not match the digest in the head',
+        )
+    document = configuration.parse(snapshot.value, head.snapshot_key)
+    return Accepted(head, item.revision, document)
+
+
+async def read_generation(
+    service: platform.Platform,
+    generation: int,
+) -> configuration.Document:
+    """Return the document of an earlier generation.
+
+    :raises errors.RefusedError: when the service has no such snapshot.
+    """
+    prefix = f'{SNAPSHOT_PREFIX}{generation}-'
+    items = await service.list_prefix(prefix)
+    accepted = await read(service)
+    if accepted.head is not None and accepted.generation == generation:
+        return accepted.document
+    known = {change.change_id for change in accepted.head.recent} if accepted.head else ()
+    for item in items:
+        if item.key.removeprefix(prefix) in known or len(items) == 1:
+            return configuration.parse(item.value, item.key)
+    raise errors.RefusedError(f'there is no snapshot of generation {generation}')
+
+
+async def apply(
+    service: platform.Platform,
+    base: configuration.Document,
+    wanted: configuration.Document,
+    author: Author,
+) -> configuration.Change | None:
+    """Have a change accepted: merge, check, then compare-and-swap.
+
+    :param service: the platform.
+    :param base: the document that the edit began with.
+    :param wanted: the document that the operator wants.
+    :param author: who makes the change.
+    :return: the accepted change, None when nothing differs.
+    :raises errors.NotKnownError: when the service went away in between; the
+        message names the change id that settles it.
+    :raises ExceptionGroup: when the same section was changed twice.
+    :raises errors.OwnershipError: when a section belongs to another team.
+    """
+    change_id = uuid.uuid4().hex
+    for _ in range(APPLY_ATTEMPTS):
+        accepted = await read(service)
+        settled = find(accepted, change_id)
+        if settled is not None:
+            return settled
+        merged = _merged(base, wanted, accepted, author)
+        if merged is None:
+            return None
+        change = _change(accepted, merged, author, change_id)
+        try:
+            return await _write(service, accepted, merged, change)
+        except errors.ConflictError:
+            continue
+        except errors.NotKnownError as error:
+            await _settle(service, change_id, error)
+    raise errors.ConflictError('too many changes by others at the same time')
+
+
+def find(accepted: Accepted, change_id: str) -> configuration.Change | None:
+    """Return an accepted change by its id, None when it is not in the trail."""
+    if accepted.head is None:
+        return None
+    for change in accepted.head.recent:
+        if change.change_id == change_id:
+            return change
+    return None
+
+
+def _merged(
+    base: configuration.Document,
+    wanted: configuration.Document,
+    accepted: Accepted,
+    author: Author,
+) -> configuration.Document | None:
+    sections = configuration.merge(
+        base.sections,
+        wanted.sections,
+        accepted.document.sections,
+    )
+    changed = configuration.difference(accepted.document.sections, sections)
+    if not changed:
+        return None
+    merged = configuration.parse(configuration.join(sections), 'merged document')
+    configuration.check_ownership(
+        accepted.document,
+        merged,
+        changed,
+        author.team,
+        author.key_sha256,
+    )
+    return merged
+
+
+def _change(
+    accepted: Accepted,
+    merged: configuration.Document,
+    author: Author,
+    change_id: str,
+) -> configuration.Change:
+    now = datetime.datetime.now(datetime.UTC)
+    return configuration.Change(
+        generation=accepted.generation + 1,
+        change_id=change_id,
+        who=author.who,
+        team=author.team,
+        when=now.isoformat(timespec='milliseconds'),
+        note=author.note,
+        sections=configuration.difference(accepted.document.sections, merged.sections),
+    )
+
+
+async def _write(
+    service: platform.Platform,
+    accepted: Accepted,
+    merged: configuration.Document,
+    change: configuration.Change,
+) -> configuration.Change:
+    """Put the snapshot, then swap the head; only the swap makes it accepted."""
+    text = merged.text()
+    key = f'{SNAPSHOT_PREFIX}{change.generation}-{change.change_id}'
+    try:
+        await service.put(key, text, 0)
+    except errors.ConflictError:
+        logs.get().info('snapshot_was_there', key=key)
+    head, dropped = configuration.advance(accepted.head, change, key, text)
+    encoded = msgspec.json.encode(head).decode()
+    await service.put(HEAD_KEY, encoded, accepted.revision)
+    for old in dropped:
+        logs.get().info('audit_exported', change=msgspec.json.encode(old).decode())
+    return change
+
+
+async def _settle(
+    service: platform.Platform,
+    change_id: str,
+    cause: errors.NotKnownError,
+) -> None:
+    """Check that the service answers again, or say that the effect is unknown."""
+    try:
+        await service.get(HEAD_KEY)
+    except errors.PlatformUnavailableError:
+        raise errors.NotKnownError(
+            f'not yet known whether change {change_id} was accepted; when the '
+            f'service is back, run: egretjunction config settle {change_id}',
+        ) from cause
--- /dev/null
+++ b/src/egretjunction/settings.py
@@ -0,0 +1,191 @@
+"""Checked settings of each process, read from INI files."""
+
+import pathlib
+import typing
+
+import msgspec
+
+from egretjunction import _ini
+from egretjunction import addresses
+from egretjunction import errors
+from egretjunction.decisions import configuration
+
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 32
+
+Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Seed = typing.Annotated[int, msgspec.Meta(ge=0)]
+Seconds = configuration.Seconds
+Name = configuration.Name
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``[entry]``.
+
+    :param name: unique name of this entry.
+    :param domain: its failure domain.
+    :param data: UDP address for datagrams of fabric and agents.
+    :param control: TCP address for control messages.
+    :param admin: HTTP address of metrics and status.
+    :param fabric: UDP address that takes answers to callers.
+    :param platform: base URL of the platform's key-value service.
+    :param seeds: control addresses of other entries.
+    :param key_file: file with the secret that entries and agents share.
+    """
+
+    name: Name
+    domain: Name
+    data: addresses.Address
+    control: addresses.Address
+    admin: addresses.Address
+    fabric: addresses.Address
+    platform: str
+    key_file: str
+    seeds: tuple[addresses.Address, ...] = ()
+
+
+class Agent(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``[agent]``.
+
+    :param name: unique name of the backend server that this agent stands beside.
+    :param domain: its failure domain.
+    :param service: the service that it serves.
+    :param data: UDP address for datagrams of entries.
+    :param admin: HTTP address of metrics, status and drain.
+    :param backend: HTTP address of the backend server.
+    :param slots: requests that the backend server runs at once.
+    :param max_connections: flows that this agent holds at most.
+    :param seeds: control addresses of entries.
+    :param certificate_file: PEM chain shown to callers.
+    :param private_key_file: PEM key of the certificate.
+    :param key_file: file with the secret that entries and agents share.
+    :param drain_seconds: longest wait for flows that do not move away.
+    :param platform: base URL of the platform's service, whose registry names
+        entries when no seed answers.
+    """
+
+    name: Name
+    domain: Name
+    service: Name
+    data: addresses.Address
+    admin: addresses.Address
+    backend: addresses.Address
+    certificate_file: str
+    private_key_file: str
+    key_file: str
+    seeds: tuple[addresses.Address, ...]
+    slots: Count = 2
+    max_connections: Count = 2000
+    drain_seconds: Seconds = 3600
+    platform: str = ''
+
+
+class Platform(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``[platform]`` of the platform stand-in.
+
+    :param writes_per_second: calls that write and are answered in a second.
+    :param reads_per_second: calls that read and are answered in a second.
+    """
+
+    listen: addresses.Address
+    writes_per_second: Count = 500
+    reads_per_second: Count = 2000
+
+
+class Backend(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``[backend]`` of the backend server stand-in.
+
+    :param feed_epoch: time at which update 0 of the feed was made.
+    :param feed_interval_seconds: time between two updates.
+    """
+
+    name: Name
+    listen: addresses.Address
+    slots: Count = 2
+    max_connections: Count = 2000
+    cold_start_seconds: Seconds = 0
+    feed_epoch: float = 0
+    feed_interval_seconds: Seconds = 0.5
+    seed: Seed = 0
+
+
+class Fabric(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``[fabric]`` of the fabric stand-in.
+
+    :param services: service addresses that callers send to.
+    :param entries: data addresses of the entries.
+    :param answers: UDP address that takes answers from entries.
+    :param admin: HTTP address for changing the settings below.
+    :param loss: share of packets that are dropped.
+    :param duplication: share of packets that are sent twice.
+    :param reordering: share of packets that are held back for a moment.
+    """
+
+    services: tuple[addresses.Address, ...]
+    entries: tuple[addresses.Address, ...]
+    answers: addresses.Address
+    admin: addresses.Address
+    loss: Share = 0
+    duplication: Share = 0
+    reordering: Share = 0
+    delay_seconds: Seconds = 0
+    jitter_seconds: Seconds = 0
+    seed: Seed = 0
+
+
+KIND_BY_SECTION: dict[str, type] = {
+    'entry': Entry,
+    'agent': Agent,
+    'platform': Platform,
+    'backend': Backend,
+    'fabric': Fabric,
+}
+
+
+def load(path: str, section: str) -> typing.Any:
+    """Read and check the settings file of a process.
+
+    :param path: the INI file.
+    :param section: one of the names in ``KIND_BY_SECTION``.
+    :raises errors.SettingsErrors: with every error in the file.
+    :raises errors.SettingsError: when the file cannot be read as INI.
+    """
+    reader = _ini.SectionReader(read_text(path), path)
+    loaded = reader.read(section, KIND_BY_SECTION[section])
+    reader.finish()
+    return loaded
+
+
+def read_text(path: str) -> str:
+    """Return the text of a file.
+
+    :raises errors.SettingsError: when there is no such file.
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            path,
+            '*',
+            '*',
+            str(error),
+            'a readable text file',
+        ) from error
+
+
+def read_key(path: str) -> bytes:
+    """Return the shared secret in a key file.
+
+    :raises errors.SettingsError: when it is missing, too short or too long.
+    """
+    key = read_text(path).strip().encode()
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        raise errors.SettingsError(
+            path,
+            '*',
+            'key',
+            f'{len(key)} bytes',
+            f'{MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes',
+        )
+    return key
--- /dev/null
+++ b/src/egretjunction/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the demo only."""
--- /dev/null
+++ b/src/egretjunction/standins/cluster.py
@@ -0,0 +1,435 @@
+"""Starts the whole system on loopback as separate processes, for demo and tests."""
+
+import datetime
+import ipaddress
+import os
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from egretjunction import addresses
+
+HOST = '127.0.0.1'
+CERTIFICATE_DAYS = 30
+START_SECONDS = 30.0
+STOP_SECONDS = 20.0
+POLL_SECONDS = 0.05
+
+
+class ServiceSize:
+    """How many backend servers a service has.
+
+    :param name: name of the service.
+    :param team: team that owns its section.
+    :param servers: number of backend servers.
+    :param options: further lines of its configuration section.
+    """
+
+    __slots__ = ('name', 'options', 'servers', 'team')
+
+    def __init__(self, name: str, team: str, servers: int, options: str = '') -> None:
+        self.name = name
+        self.team = team
+        self.servers = servers
+        self.options = options
+
+
+class Size:
+    """The size of a user's system.
+
+    :param user: name of the user.
+    :param domains: failure domains.
+    :param entries: number of entries.
+    :param services: the services.
+    :param delay_seconds: one-way delay between callers and the system.
+    """
+
+    __slots__ = ('delay_seconds', 'domains', 'entries', 'services', 'user')
+
+    def __init__(
+        self,
+        user: str,
+        domains: int,
+        entries: int,
+        services: tuple[ServiceSize, ...],
+        delay_seconds: float,
+    ) -> None:
+        self.user = user
+        self.domains = domains
+        self.entries = entries
+        self.services = services
+        self.delay_seconds = delay_seconds
+
+
+_OPTIONS = 'feed_paths = /feed*\nlarge_paths = /photos*\n'
+SYLFAEN = Size(
+    'sylfaen',
+    4,
+    4,
+    (
+        ServiceSize('bookings', 'booking', 7, _OPTIONS),
+        ServiceSize('surveys', 'photo', 4, _OPTIONS),
+    ),
+    0.001,
+)
+LAKESHORE = Size(
+    'lakeshore',
+    3,
+    3,
+    (
+        ServiceSize('dispatch', 'dispatch', 7, _OPTIONS),
+        ServiceSize('intake', 'intake', 3, _OPTIONS),
+    ),
+    0.003,
+)
+
+
+class Ports:
+    """Hands out loopback ports that nothing uses."""
+
+    def __init__(self) -> None:
+        self._given: set[int] = set()
+
+    def take(self) -> addresses.Address:
+        """Return an address that is free for TCP and UDP."""
+        while True:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind((HOST, 0))
+                port = tcp.getsockname()[1]
+                try:
+                    udp.bind((HOST, port))
+                except OSError:
+                    continue
+            if port not in self._given:
+                self._given.add(port)
+                return addresses.Address(HOST, port)
+
+
+class Cluster:
+    """All processes of one run, with their settings in a folder.
+
+    :param folder: where settings, keys and logs go.
+    :param size: what to start.
+    """
+
+    def __init__(self, folder: pathlib.Path, size: Size) -> None:
+        self.folder = folder
+        self.size = size
+        self.ports = Ports()
+        self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.admin_by_name: dict[str, addresses.Address] = {}
+        self.data_by_entry: dict[str, addresses.Address] = {}
+        self.control_by_entry: dict[str, addresses.Address] = {}
+        self.backend_by_server: dict[str, addresses.Address] = {}
+        self.address_by_service = {
+            service.name: self.ports.take() for service in size.services
+        }
+        self.platform = self.ports.take()
+        self.fabric_answers = self.ports.take()
+        self.feed_epoch = time.time()
+        self.authority_file = folder / 'authority.pem'
+        self.key_file = folder / 'shared.key'
+        self.key_file.write_text(secrets.token_hex(16), encoding='utf-8')
+        write_certificates(folder, [service.name for service in size.services])
+
+    @property
+    def platform_url(self) -> str:
+        """Return the base URL of the platform stand-in."""
+        return f'http://{self.platform}'
+
+    def domain(self, index: int) -> str:
+        """Return the name of a failure domain."""
+        return f'domain-{index % self.size.domains + 1}'
+
+    def start(self) -> None:
+        """Start every process and wait until each one answers."""
+        self.start_platform()
+        names = [f'entry-{number + 1}' for number in range(self.size.entries)]
+        for number, name in enumerate(names):
+            self.start_entry(name, self.domain(number))
+        self.start_fabric()
+        for service in self.size.services:
+            for number in range(service.servers):
+                self.start_server(service, number)
+        self.wait_for(list(self.admin_by_name))
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in."""
+        self._start('platform', 'standin platform', {'listen': self.platform})
+
+    def start_fabric(self) -> None:
+        """Start the fabric stand-in in front of all entries."""
+        self.admin_by_name['fabric'] = self.ports.take()
+        self._start(
+            'fabric',
+            'standin fabric',
+            {
+                'services': _joined(self.address_by_service.values()),
+                'entries': _joined(self.data_by_entry.values()),
+                'answers': self.fabric_answers,
+                'admin': self.admin_by_name['fabric'],
+                'delay_seconds': self.size.delay_seconds,
+            },
+        )
+
+    def start_entry(self, name: str, domain: str) -> None:
+        """Start one entry."""
+        self.admin_by_name[name] = self.ports.take()
+        seeds = list(self.control_by_entry.values())
+        self.data_by_entry[name] = self.ports.take()
+        self.control_by_entry[name] = self.ports.take()
+        self._start(
+            name,
+            'entry',
+            {
+                'name': name,
+                'domain': domain,
+                'data': self.data_by_entry[name],
+                'control': self.control_by_entry[name],
+                'admin': self.admin_by_name[name],
+                'fabric': self.fabric_answers,
+                'platform': self.platform_url,
+                'key_file': self.key_file,
+                'seeds': _joined(seeds),
+            },
+        )
+
+    def start_server(
+        self,
+        service: ServiceSize,
+        number: int,
+        cold_start_seconds: float = 0,
+    ) -> str:
+        """Start a backend server and the agent beside it; return its name."""
+        name = f'{service.name}-{number + 1}'
+        self.start_backend(name, cold_start_seconds)
+        self.start_agent(name, service.name, self.domain(number))
+        return name
+
+    def start_backend(self, name: str, cold_start_seconds: float = 0) -> None:
+        """Start one backend server stand-in."""
+        self.backend_by_server.setdefault(name, self.ports.take())
+        self._start(
+            f'backend-{name}',
+            'standin backend',
+            {
+                'name': name,
+                'listen': self.backend_by_server[name],
+                'cold_start_seconds': cold_start_seconds,
+                'feed_epoch': self.feed_epoch,
+            },
+        )
+
+    def start_agent(self, name: str, service: str, domain: str) -> None:
+        """Start the agent beside a backend server."""
+        agent = f'agent-{name}'
+        self.admin_by_name[agent] = self.ports.take()
+        self._start(
+            agent,
+            'agent',
+            {
+                'name': name,
+                'domain': domain,
+                'service': service,
+                'data': self.ports.take(),
+                'admin': self.admin_by_name[agent],
+                'backend': self.backend_by_server[name],
+                'certificate_file': self.folder / f'{service}.pem',
+                'private_key_file': self.folder / f'{service}.key',
+                'key_file': self.key_file,
+                'seeds': _joined(self.control_by_entry.values()),
+                'platform': self.platform_url,
+            },
+        )
+
+    def document(self) -> str:
+        """Return a configuration document for this size."""
+        sections = []
+        for team in sorted({service.team for service in self.size.services}):
+            digest = team_key_digest(team)
+            sections.append(f'[team {team}]\nkey_sha256 = {digest}\n')
+        for service in self.size.services:
+            address = self.address_by_service[service.name]
+            sections.append(
+                f'[service {service.name}]\nteam = {service.team}\n'
+                f'address = {address}\nbackend_servers = {service.name}-*\n'
+                f'{service.options}',
+            )
+        return '\n'.join(sections)
+
+    def wait_for(self, names: typing.Iterable[str]) -> None:
+        """Wait until the admin endpoints of some processes answer.
+
+        :raises TimeoutError: when one does not.
+        """
+        deadline = time.monotonic() + START_SECONDS
+        for name in names:
+            while not self._answers(name):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f'{name} did not start; see its log')
+                time.sleep(POLL_SECONDS)
+
+    def get(self, name: str, path: str) -> bytes:
+        """Return what an admin endpoint shows."""
+        url = f'http://{self.admin_by_name[name]}{path}'
+        with urllib.request.urlopen(url, timeout=2) as response:  # noqa: S310
+            return response.read()
+
+    def post(self, address: addresses.Address, path: str, body: bytes) -> None:
+        """Send a command to a stand-in or daemon."""
+        url = f'http://{address}{path}'
+        request = urllib.request.Request(url, body, method='POST')  # noqa: S310
+        with urllib.request.urlopen(request, timeout=2):  # noqa: S310
+            return
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.process_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End one process at once."""
+        self.process_by_name[name].kill()
+        self.process_by_name.pop(name).wait()
+
+    def stop(self) -> None:
+        """End every process that this cluster has started."""
+        for process in self.process_by_name.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.process_by_name.values():
+            process.wait(STOP_SECONDS)
+        self.process_by_name.clear()
+
+    def _answers(self, name: str) -> bool:
+        process = self.process_by_name.get(name)
+        if process is not None and process.poll() is not None:
+            raise TimeoutError(f'{name} ended with code {process.returncode}')
+        if name == 'fabric':
+            address = self.admin_by_name[name]
+            with socket.socket() as probe:
+                return probe.connect_ex(address) == 0
+        try:
+            return bool(self.get(name, '/status'))
+        except (urllib.error.URLError, OSError):
+            return False
+
+    def _start(
+        self,
+        name: str,
+        command: str,
+        value_by_key: typing.Mapping[str, object],
+    ) -> None:
+        section = command.split()[-1]
+        lines = [f'{key} = {text}' for key, text in value_by_key.items() if str(text)]
+        path = self.folder / f'{name}.ini'
+        body = '\n'.join(lines)
+        path.write_text(f'[{section}]\n{body}\n', encoding='utf-8')
+        log = (self.folder / f'{name}.log').open('ab')
+        arguments = [
+            sys.executable,
+            '-m',
+            'egretjunction',
+            *command.split(),
+            '--settings',
+            str(path),
+        ]
+        self.process_by_name[name] = subprocess.Popen(  # noqa: S603
+            arguments,
+            stdout=log,
+            stderr=log,
+            env=dict(os.environ),
+        )
+        log.close()
+
+
+def _joined(listed: typing.Iterable[object]) -> str:
+    return ', '.join(str(each) for each in listed)
+
+
+def team_key(team: str) -> str:
+    """Return the key that a team's operators hold in the demo."""
+    return f'demo key of team {team}'
+
+
+def team_key_digest(team: str) -> str:
+    """Return the digest of a team's demo key."""
+    digest = hashes.Hash(hashes.SHA256())
+    digest.update(team_key(team).encode())
+    return digest.finalize().hex()
+
+
+def write_certificates(
+    folder: pathlib.Path,
+    names: typing.Sequence[str],
+    days: int = CERTIFICATE_DAYS,
+) -> None:
+    """Write an authority and a certificate for each service.
+
+    :param folder: where the PEM files go.
+    :param names: names of the services.
+    :param days: validity; a negative number makes expired certificates.
+    """
+    authority_key = ec.generate_private_key(ec.SECP256R1())
+    authority_name = _name('egretjunction demo authority')
+    authority = (
+        _builder(authority_name, authority_name, authority_key, CERTIFICATE_DAYS)
+        .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
+        .sign(authority_key, hashes.SHA256())
+    )
+    _write_pem(folder / 'authority.pem', authority)
+    for name in names:
+        key = ec.generate_private_key(ec.SECP256R1())
+        alternatives = [x509.DNSName(name), x509.IPAddress(ipaddress.ip_address(HOST))]
+        certificate = (
+            _builder(_name(name), authority_name, key, days)
+            .add_extension(x509.SubjectAlternativeName(alternatives), critical=False)
+            .sign(authority_key, hashes.SHA256())
+        )
+        _write_pem(folder / f'{name}.pem', certificate)
+        (folder / f'{name}.key').write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            ),
+        )
+
+
+def _name(common_name: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, common_name)])
+
+
+def _builder(
+    subject: x509.Name,
+    issuer: x509.Name,
+    key: ec.EllipticCurvePrivateKey,
+    days: int,
+) -> x509.CertificateBuilder:
+    now = datetime.datetime.now(datetime.UTC)
+    begin = now - datetime.timedelta(days=CERTIFICATE_DAYS * 2)
+    return (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(issuer)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(begin)
+        .not_valid_after(now + datetime.timedelta(days=days))
+    )
+
+
+def _write_pem(path: pathlib.Path, certificate: x509.Certificate) -> None:
+    path.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
--- /dev/null
+++ b/src/egretjunction/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Formats of the datagrams and messages between the system's processes."""
--- /dev/null
+++ b/src/egretjunction/wire/packets.py
@@ -0,0 +1,203 @@
+"""The datagram header between fabric, entry and agent, and QUIC's public fields.
+
+The header is version 2 of the PROXY protocol (UDP over IPv4) with one TLV of
+the range that it reserves for applications. The QUIC fields are those of
+RFC 8999, which hold for every version of QUIC.
+"""
+
+import socket
+import struct
+
+from egretjunction import addresses
+from egretjunction import errors
+
+SIGNATURE = b'\r\n\r\n\x00\r\nQUIT\n'
+VERSION_AND_COMMAND = 0x21
+UDP_OVER_IPV4 = 0x12
+TLV_PLACEMENT = 0xE0
+MAX_DATAGRAM_BYTES = 65535
+MIN_FIRST_PACKET_BYTES = 1200
+CONNECTION_ID_BYTES = 20
+LONG_HEADER_BIT = 0x80
+FIXED_BIT = 0x40
+MAX_CANDIDATES = 8
+NO_LOAD_SEEN = 65535
+
+_FIXED = struct.Struct('!12sBBH4s4sHH')
+_ADDRESSES_BYTES = 12
+_TLV = struct.Struct('!BH')
+_PLACEMENT = struct.Struct('!BBH6s')
+
+
+class Placement:
+    """The agents that may take a first packet, and what is known of them.
+
+    :param hops: how many agents have passed the packet on.
+    :param best_index: index of the least loaded candidate seen on the way.
+    :param best_load: its load in hundredths of a slot.
+    :param entry: the entry that answers go back through.
+    :param candidates: agents in the order in which they are asked.
+    """
+
+    __slots__ = ('best_index', 'best_load', 'candidates', 'entry', 'hops')
+
+    def __init__(
+        self,
+        hops: int,
+        best_index: int,
+        best_load: int,
+        entry: addresses.Address,
+        candidates: tuple[addresses.Address, ...],
+    ) -> None:
+        self.hops = hops
+        self.best_index = best_index
+        self.best_load = best_load
+        self.entry = entry
+        self.candidates = candidates
+
+
+class Envelope:
+    """A QUIC datagram with the addresses that the caller used.
+
+    :param source: where the datagram comes from.
+    :param destination: where it goes to.
+    :param payload: the QUIC datagram.
+    :param placement: candidates, on the way to an agent; None elsewhere.
+    """
+
+    __slots__ = ('destination', 'payload', 'placement', 'source')
+
+    def __init__(
+        self,
+        source: addresses.Address,
+        destination: addresses.Address,
+        payload: bytes,
+        placement: Placement | None = None,
+    ) -> None:
+        self.source = source
+        self.destination = destination
+        self.payload = payload
+        self.placement = placement
+
+
+class QuicFields:
+    """The fields of a QUIC datagram that its version cannot change.
+
+    :param connection_id: the destination connection ID.
+    :param is_long: whether the packet has a long header.
+    """
+
+    __slots__ = ('connection_id', 'is_long')
+
+    def __init__(self, connection_id: bytes, is_long: bool) -> None:
+        self.connection_id = connection_id
+        self.is_long = is_long
+
+
+def _encode_placement(placement: Placement) -> bytes:
+    body = _PLACEMENT.pack(
+        placement.hops,
+        placement.best_index,
+        placement.best_load,
+        addresses.pack(placement.entry),
+    )
+    body += b''.join(addresses.pack(each) for each in placement.candidates)
+    return _TLV.pack(TLV_PLACEMENT, len(body)) + body
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of a datagram with its header."""
+    options = b''
+    if envelope.placement is not None:
+        options = _encode_placement(envelope.placement)
+    return (
+        _FIXED.pack(
+            SIGNATURE,
+            VERSION_AND_COMMAND,
+            UDP_OVER_IPV4,
+            _ADDRESSES_BYTES + len(options),
+            socket.inet_aton(envelope.source[0]),
+            socket.inet_aton(envelope.destination[0]),
+            envelope.source[1],
+            envelope.destination[1],
+        )
+        + options
+        + envelope.payload
+    )
+
+
+def _decode_placement(options: bytes) -> Placement | None:
+    offset = 0
+    while offset + _TLV.size <= len(options):
+        kind, size = _TLV.unpack_from(options, offset)
+        offset += _TLV.size
+        body = options[offset : offset + size]
+        offset += size
+        if kind == TLV_PLACEMENT:
+            return _decode_placement_body(body, size)
+    return None
+
+
+def _decode_placement_body(body: bytes, size: int) -> Placement:
+    if len(body) != size or size < _PLACEMENT.size:
+        raise errors.PacketError('placement option is truncated')
+    listed = body[_PLACEMENT.size :]
+    count, rest = divmod(len(listed), addresses.PACKED_BYTES)
+    if rest or count > MAX_CANDIDATES:
+        raise errors.PacketError('placement option has a malformed candidate list')
+    hops, best_index, best_load, entry = _PLACEMENT.unpack_from(body)
+    if best_index and best_index >= count:
+        raise errors.PacketError('placement option names no candidate of its list')
+    step = addresses.PACKED_BYTES
+    candidates = tuple(
+        addresses.unpack(listed[start : start + step])
+        for start in range(0, len(listed), step)
+    )
+    return Placement(hops, best_index, best_load, addresses.unpack(entry), candidates)
+
+
+def decode(datagram: bytes) -> Envelope:
+    """Read a datagram with its header.
+
+    :param datagram: bytes as received.
+    :raises errors.PacketError: when the header is not the expected one.
+    """
+    if len(datagram) < _FIXED.size:
+        raise errors.PacketError('datagram is shorter than its header')
+    fields = _FIXED.unpack_from(datagram)
+    if fields[0] != SIGNATURE:
+        raise errors.PacketError('datagram has no header signature')
+    if fields[1] != VERSION_AND_COMMAND or fields[2] != UDP_OVER_IPV4:
+        raise errors.PacketError('datagram header is not for UDP over IPv4')
+    options_bytes = fields[3] - _ADDRESSES_BYTES
+    start = _FIXED.size + options_bytes
+    if options_bytes < 0 or start > len(datagram):
+        raise errors.PacketError('datagram header has a wrong length')
+    placement = None
+    if options_bytes:
+        placement = _decode_placement(datagram[_FIXED.size : start])
+    return Envelope(
+        addresses.Address(socket.inet_ntoa(fields[4]), fields[6]),
+        addresses.Address(socket.inet_ntoa(fields[5]), fields[7]),
+        datagram[start:],
+        placement,
+    )
+
+
+def read_quic_fields(payload: bytes) -> QuicFields:
+    """Read the destination connection ID of a QUIC datagram.
+
+    Short headers are read with the length of the IDs that agents issue.
+
+    :param payload: the QUIC datagram.
+    :raises errors.PacketError: when the datagram cannot be QUIC.
+    """
+    if not payload:
+        raise errors.PacketError('datagram is empty')
+    if payload[0] & LONG_HEADER_BIT:
+        if len(payload) < 7 or len(payload) < 6 + payload[5]:
+            raise errors.PacketError('long header is truncated')
+        return QuicFields(payload[6 : 6 + payload[5]], is_long=True)
+    if not payload[0] & FIXED_BIT or len(payload) <= CONNECTION_ID_BYTES:
+        raise errors.PacketError('short header is malformed')
+    return QuicFields(payload[1 : 1 + CONNECTION_ID_BYTES], is_long=False)
