--- a/src/egretjunction/_caller_flow.py
+++ b/src/egretjunction/_caller_flow.py
@@ -36,7 +36,15 @@
 class Answer:
     """An answer that arrives in parts."""
 
-    __slots__ = ('_changed', '_error', 'body', 'headers', 'is_complete', 'is_sent', 'status')
+    __slots__ = (
+        '_changed',
+        '_error',
+        'body',
+        'headers',
+        'is_complete',
+        'is_sent',
+        'status',
+    )
 
     def __init__(self) -> None:
         self.status = 0
@@ -69,7 +77,9 @@
 
     def add_headers(self, pairs: _headers.Pairs) -> None:
         """Take in status and headers."""
-        fields = {name.decode('latin-1'): text.decode('latin-1') for name, text in pairs}
+        fields = {
+            name.decode('latin-1'): text.decode('latin-1') for name, text in pairs
+        }
         self.status = int(fields.get(':status', '0'))
         self.headers = fields
         self._changed.set()
--- a/src/egretjunction/_flows.py
+++ b/src/egretjunction/_flows.py
@@ -28,7 +28,15 @@
     :param pairs: the request's header fields.
     """
 
-    __slots__ = ('_ended', '_flow', '_parts', '_wakeup', 'is_cancelled', 'pairs', 'stream_id')
+    __slots__ = (
+        '_ended',
+        '_flow',
+        '_parts',
+        '_wakeup',
+        'is_cancelled',
+        'pairs',
+        'stream_id',
+    )
 
     def __init__(self, flow: 'Flow', stream_id: int, pairs: _headers.Pairs) -> None:
         self._flow = flow
@@ -221,7 +229,9 @@
         elif isinstance(event, quic_events.ConnectionTerminated):
             self._end()
             return
-        elif isinstance(event, (quic_events.StreamReset, quic_events.StopSendingReceived)):
+        elif isinstance(
+            event, (quic_events.StreamReset, quic_events.StopSendingReceived)
+        ):
             self._cancel(event.stream_id)
         for http_event in self.http.handle_event(event):
             self._on_http(http_event)
@@ -240,7 +250,9 @@
             known.feed(b'', event.stream_ended)
             return
         if self.is_leaving and event.stream_id >= self._next_stream_id:
-            self.connection.reset_stream(event.stream_id, h3.ErrorCode.H3_REQUEST_REJECTED)
+            self.connection.reset_stream(
+                event.stream_id, h3.ErrorCode.H3_REQUEST_REJECTED
+            )
             return
         self._next_stream_id = max(self._next_stream_id, event.stream_id + 4)
         stream = Stream(self, event.stream_id, event.headers)
--- a/src/egretjunction/_requests.py
+++ b/src/egretjunction/_requests.py
@@ -126,7 +126,9 @@
 
     def _apply(self, found: list[dispatch.Effect]) -> None:
         for effect in found:
-            request = self._request_by_stream.get(typing.cast('_flows.Stream', effect.key))
+            request = self._request_by_stream.get(
+                typing.cast('_flows.Stream', effect.key)
+            )
             if request is None:
                 continue
             if isinstance(effect, dispatch.Start):
--- a/src/egretjunction/caller.py
+++ b/src/egretjunction/caller.py
@@ -33,7 +33,15 @@
     :param reason: short text when there is no usable answer.
     """
 
-    __slots__ = ('attempts', 'body', 'headers', 'reason', 'seconds', 'status', 'verdict')
+    __slots__ = (
+        'attempts',
+        'body',
+        'headers',
+        'reason',
+        'seconds',
+        'status',
+        'verdict',
+    )
 
     def __init__(
         self,
--- a/src/egretjunction/cli.py
+++ b/src/egretjunction/cli.py
@@ -1,9 +1,13 @@
 """The command line: daemons, configuration, demo and stand-ins."""
 
 import asyncio
+import logging
+import pathlib
 import sys
+import tempfile
 import typing
 
+import msgspec
 import typer
 
 from egretjunction import errors
@@ -45,6 +49,41 @@
     asyncio.run(_run_daemon(daemon.Agent, given))
 
 
+@app.command()
+def demo(  # noqa: PLR0913, PLR0917
+    seconds: typing.Annotated[float, typer.Option(help='Length of the load.')] = 60,
+    seed: typing.Annotated[int, typer.Option(help='Seed of the load.')] = 1,
+    *,
+    lakeshore: typing.Annotated[bool, typer.Option(help="Lakeshore's size.")] = False,
+    report: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help='Write all that was seen to a JSON file.'),
+    ] = None,
+    folder: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help='Keep settings and logs of all processes here.'),
+    ] = None,
+) -> None:
+    """Run a user's whole system on this machine, with planned changes midway.
+
+    Ends with exit code 1 when a promise was broken.
+    """
+    from egretjunction import demo as runner  # noqa: PLC0415
+    from egretjunction.standins import cluster  # noqa: PLC0415
+
+    logs.configure('demo', logging.WARNING)
+    size = cluster.LAKESHORE if lakeshore else cluster.SYLFAEN
+    with tempfile.TemporaryDirectory(prefix='egretjunction-') as temporary:
+        place = folder or pathlib.Path(temporary)
+        place.mkdir(parents=True, exist_ok=True)
+        result = runner.run(place, size, seconds, seed)
+    runner.show(result)
+    if report is not None:
+        report.write_bytes(msgspec.json.encode(result))
+    if not result.totals.is_clean:
+        raise typer.Exit(1)
+
+
 async def _run_daemon(kind: typing.Any, given: typing.Any) -> None:
     await kind(given).run()
 
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -247,7 +247,9 @@
             found.append(effects.Reply(buckets))
         return found
 
-    def _on_buckets(self, message: messages.Buckets, now: float) -> list[effects.Effect]:
+    def _on_buckets(
+        self, message: messages.Buckets, now: float
+    ) -> list[effects.Effect]:
         found = self._hear(message.sender, now)
         buckets = self.view.differing(message.hashes)[:REPAIR_BUCKETS]
         if buckets:
--- a/src/egretjunction/decisions/membership.py
+++ b/src/egretjunction/decisions/membership.py
@@ -229,7 +229,9 @@
         """Return the records in some buckets."""
         wanted = set(buckets)
         return [
-            member for name, member in self._by_name.items() if bucket_of(name) in wanted
+            member
+            for name, member in self._by_name.items()
+            if bucket_of(name) in wanted
         ]
 
     def _replace(self, known: Member | None, member: Member | None) -> None:
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/entry.py
@@ -165,7 +165,9 @@
             self._figures.count('packets_to_callers')
             self._data.send(datagram, self._given.fabric)
             return
-        found = self._router.route(envelope.destination, envelope.payload, self._clock())
+        found = self._router.route(
+            envelope.destination, envelope.payload, self._clock()
+        )
         if isinstance(found, routing.Drop):
             self._drop(found.reason, sender, str(envelope.destination))
             return
@@ -231,7 +233,9 @@
             return
         generation = self._control.in_force.generation
         if head.generation < generation:
-            logs.get().warning('platform_answered_with_old_head', generation=head.generation)
+            logs.get().warning(
+                'platform_answered_with_old_head', generation=head.generation
+            )
             await asyncio.sleep(RETRY_SECONDS)
             return
         self._links.apply(self._control.adopt(head.recent, self._clock()))
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -91,7 +91,9 @@
     accepted = await read(service)
     if accepted.head is not None and accepted.generation == generation:
         return accepted.document
-    known = {change.change_id for change in accepted.head.recent} if accepted.head else ()
+    known = (
+        {change.change_id for change in accepted.head.recent} if accepted.head else ()
+    )
     for item in items:
         if item.key.removeprefix(prefix) in known or len(items) == 1:
             return configuration.parse(item.value, item.key)
--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -96,7 +96,9 @@
         :raises errors.RefusedError: when the value is too large.
         """
         if len(value.encode()) > MAX_VALUE_BYTES:
-            raise errors.RefusedError(f'value of "{key}" exceeds {MAX_VALUE_BYTES} bytes')
+            raise errors.RefusedError(
+                f'value of "{key}" exceeds {MAX_VALUE_BYTES} bytes'
+            )
         body = {'value': value, 'if_revision': revision, 'lease': lease}
         response = await self._write('PUT', f'/v1/kv/{key}', body)
         return msgspec.json.decode(response.body, type=_Revision).revision
--- a/src/egretjunction/standins/backend.py
+++ b/src/egretjunction/standins/backend.py
@@ -85,7 +85,9 @@
         }
         now = time.monotonic()
         self._shown.append((now, news))
-        due = [each for each in self._shown if each[0] <= now - self.behaviour.lag_seconds]
+        due = [
+            each for each in self._shown if each[0] <= now - self.behaviour.lag_seconds
+        ]
         self._shown = self._shown[-1000:]
         return due[-1][1] if due else self._shown[0][1]
 
--- a/src/egretjunction/standins/platform.py
+++ b/src/egretjunction/standins/platform.py
@@ -129,7 +129,9 @@
         """Drop lapsed leases and the keys that hang on them."""
         now = time.monotonic()
         lapsed = {
-            lease for lease, (_, expiry) in self._expiry_by_lease.items() if expiry <= now
+            lease
+            for lease, (_, expiry) in self._expiry_by_lease.items()
+            if expiry <= now
         }
         for lease in lapsed:
             self._expiry_by_lease.pop(lease)
