--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module runs as ``python -m bench.NAME``."""
--- a/src/egretjunction/_backend.py
+++ b/src/egretjunction/_backend.py
@@ -12,8 +12,9 @@
 from egretjunction import verdicts
 
 CONNECT_SECONDS = 2.0
-MAX_BODY_BYTES = 1 << 50
+MAX_BODY_BYTES = 1_000_000_000_000
 CHUNK_BYTES = 65_536
+HTTP_OK = 200
 METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'OPTIONS', 'TRACE'))
 
 
@@ -63,7 +64,7 @@
         headers: httputil.HTTPHeaders,
     ) -> typing.Awaitable[None] | None:
         line = typing.cast('httputil.ResponseStartLine', start_line)
-        if line.code >= 200:
+        if line.code >= HTTP_OK:
             self._exchange.progress = verdicts.Progress.FIRST_BYTE
             return self._on_head(line.code, headers)
         return None
@@ -105,12 +106,12 @@
         """
         await self._connect()
         stream = typing.cast('iostream.IOStream', self._stream)
-        parameters = http1connection.HTTP1ConnectionParameters(
+        options = http1connection.HTTP1ConnectionParameters(
             no_keep_alive=True,
             chunk_size=CHUNK_BYTES,
             max_body_size=MAX_BODY_BYTES,
         )
-        connection = http1connection.HTTP1Connection(stream, True, parameters)
+        connection = http1connection.HTTP1Connection(stream, True, options)
         sending = asyncio.create_task(self._send(connection, head, read_body))
         try:
             await connection.read_response(_Answer(self, on_head, on_data))
--- a/src/egretjunction/_caller_flow.py
+++ b/src/egretjunction/_caller_flow.py
@@ -89,6 +89,10 @@
         self.body += part
         self._changed.set()
 
+    def drop_body(self, count: int) -> None:
+        """Remove the first bytes of the body, which were read."""
+        self.body = self.body[count:]
+
     def complete(self) -> None:
         """Note the end of the answer."""
         self.is_complete = True
@@ -192,7 +196,7 @@
             return
         if _quic.can_send(self._quic, stream_id):
             self._quic.reset_stream(stream_id, h3.ErrorCode.H3_REQUEST_CANCELLED)
-        if not answer.is_complete and stream_id in self._quic._streams:  # noqa: SLF001
+        if not answer.is_complete and stream_id in self._quic._streams:
             self._quic.stop_stream(stream_id, h3.ErrorCode.H3_REQUEST_CANCELLED)
         self.transmit()
 
@@ -281,5 +285,5 @@
 def close(flow: CallerFlow) -> None:
     """Close a connection and its socket."""
     flow.close()
-    transport = flow._transport  # noqa: SLF001
+    transport = flow._transport
     asyncio.get_running_loop().call_soon(transport.close)
--- a/src/egretjunction/_flows.py
+++ b/src/egretjunction/_flows.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import typing
 
 from aioquic import asyncio as quic_asyncio
@@ -178,7 +179,7 @@
         self.http = _quic.Http3Connection(connection)
         self.stream_by_id: dict[int, Stream] = {}
         self.entry: tuple[str, int] | None = None
-        self.heard_at = 0.0
+        self.heard_at = float(0)
         self.is_established = False
         self.is_leaving = False
         self._next_stream_id = 0
@@ -197,8 +198,8 @@
         retired: 'typing.Callable[[Flow, bytes], None]',
     ) -> None:
         """Report each connection ID that comes into use or goes out of use."""
-        self._connection_id_issued_handler = lambda each: issued(self, each)
-        self._connection_id_retired_handler = lambda each: retired(self, each)
+        self._connection_id_issued_handler = functools.partial(issued, self)
+        self._connection_id_retired_handler = functools.partial(retired, self)
 
     def go_away(self) -> None:
         """Ask the caller to move; requests that have arrived are still served."""
--- a/src/egretjunction/_ini.py
+++ b/src/egretjunction/_ini.py
@@ -111,7 +111,8 @@
             self._read_field(section, given_by_key, field, value_by_name, name)
         for key in given_by_key:
             if key not in fields:
-                allowed = 'one of ' + ', '.join(sorted(fields))
+                known = ', '.join(sorted(fields))
+                allowed = f'one of {known}'
                 self.report(section, key, given_by_key[key], allowed)
         if len(self.found) > before:
             return None
--- a/src/egretjunction/_quic.py
+++ b/src/egretjunction/_quic.py
@@ -20,6 +20,8 @@
 STREAM_WINDOW_BYTES = 262_144
 WINDOW_STEPS = 4
 CONNECTION_ID_LENGTH = 20
+RANDOM_BITS = 0x3F
+FIXED_BIT = 0x40
 
 Mint = typing.Callable[[], bytes]
 ResetToken = typing.Callable[[bytes], bytes]
@@ -98,20 +100,20 @@
 
 def unsent(connection: quic.QuicConnection, stream_id: int) -> int:
     """Return the bytes of a stream that the peer has not acknowledged."""
-    stream = connection._streams.get(stream_id)  # noqa: SLF001
+    stream = connection._streams.get(stream_id)
     if stream is None:
         return 0
     sender = stream.sender
-    return sender._buffer_stop - sender._buffer_start  # noqa: SLF001
+    return sender._buffer_stop - sender._buffer_start
 
 
 def can_send(connection: quic.QuicConnection, stream_id: int) -> bool:
     """Tell whether a stream still takes data."""
-    stream = connection._streams.get(stream_id)  # noqa: SLF001
-    if stream is None or connection._state in quic.END_STATES:  # noqa: SLF001
+    stream = connection._streams.get(stream_id)
+    if stream is None or connection._state in quic.END_STATES:
         return False
     sender = stream.sender
-    return sender._reset_error_code is None and not sender.is_finished  # noqa: SLF001
+    return sender._reset_error_code is None and not sender.is_finished
 
 
 class Http3Connection(h3.H3Connection):
@@ -231,5 +233,5 @@
     :param token: reset token of the flow's connection ID.
     :param filler: random bytes, at least five.
     """
-    first = (filler[0] & 0x3F) | 0x40
+    first = (filler[0] & RANDOM_BITS) | FIXED_BIT
     return bytes([first]) + filler[1:] + token
--- a/src/egretjunction/_requests.py
+++ b/src/egretjunction/_requests.py
@@ -14,8 +14,8 @@
 from egretjunction import logs
 from egretjunction import metrics
 from egretjunction import verdicts
-from egretjunction.decisions import configuration
 from egretjunction.decisions import dispatch
+from egretjunction.decisions import document
 from egretjunction.decisions import health
 from egretjunction.decisions import policy
 
@@ -72,7 +72,7 @@
     def accept(
         self,
         stream: _flows.Stream,
-        service: configuration.Service | None,
+        service: document.Service | None,
     ) -> None:
         """Take a new request: run it, queue it or shed it."""
         pseudo, headers = _headers.to_http1(stream.pairs)
@@ -190,7 +190,10 @@
     async def _exchange(self, request: _Request) -> None:
         stream = request.stream
 
-        async def on_head(status: int, headers: httputil.HTTPHeaders) -> None:  # noqa: WPS430
+        async def on_head(
+            status: int,
+            headers: httputil.HTTPHeaders,
+        ) -> None:
             request.is_answering = True
             if _headers.VERDICT not in headers:
                 headers[_headers.VERDICT] = verdicts.Verdict.RAN.value
--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/agent.py
@@ -12,6 +12,7 @@
 from tornado import simple_httpclient
 
 from egretjunction import _admin
+from egretjunction import _flow_table
 from egretjunction import _flows
 from egretjunction import _quic
 from egretjunction import _requests
@@ -67,12 +68,13 @@
         self._given = given
         self._clock = time.monotonic
         self._key = settings.read_key(given.key_file)
-        self._quic = _quic.server_configuration(
-            given.certificate_file,
-            given.private_key_file,
-        )
         self._incarnation = incarnations.from_clock(time.time())
-        self._owner = ownership.Owner(given.data, self._incarnation)
+        self._flows = _flow_table.FlowTable(
+            self._key,
+            given.service,
+            ownership.Owner(given.data, self._incarnation),
+            _quic.server_configuration(given.certificate_file, given.private_key_file),
+        )
         self._figures = metrics.Metrics('agent')
         self._lifecycle = lifecycles.Lifecycle('agent')
         self._health = health.Health()
@@ -101,10 +103,8 @@
             self._requests.cancel,
             self._on_flow_gone,
         )
-        self._flow_by_connection_id: dict[bytes, _flows.Flow] = {}
-        self._ids_by_flow: dict[_flows.Flow, set[bytes]] = {}
         self._logged_by_reason: collections.Counter[str] = collections.Counter()
-        self._drain_began_at = 0.0
+        self._drain_began_at = float(0)
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
@@ -144,7 +144,7 @@
         now = self._clock()
         self._drain_began_at = now
         self._links.apply(self._control.change(now, state=membership.State.DRAINING))
-        for flow in list(self._ids_by_flow):
+        for flow in self._flows.all():
             flow.go_away()
 
     def _own_record(self) -> membership.Member:
@@ -161,7 +161,7 @@
         )
 
     def _register_figures(self) -> None:
-        self._figures.gauge('flows', lambda: len(self._ids_by_flow))
+        self._figures.gauge('flows', lambda: len(self._flows))
         self._figures.gauge('requests_running', lambda: self._dispatcher.running)
         self._figures.gauge('requests_waiting', lambda: self._dispatcher.waiting)
         self._figures.gauge('datagrams_unsent', lambda: self._data.dropped)
@@ -180,7 +180,7 @@
             'sequence': self._control.me.sequence,
             'generation': self._control.in_force.generation,
             'fitness': self._control.me.fitness,
-            'flows': len(self._ids_by_flow),
+            'flows': len(self._flows),
             'running': self._dispatcher.running,
             'waiting': self._dispatcher.waiting,
         }
@@ -200,10 +200,10 @@
             self._drop('without_placement', sender, '')
             return
         self._answers.heard(option.entry, now)
-        flow = self._flow_by_connection_id.get(fields.connection_id)
+        flow = self._flows.find(fields.connection_id)
         if flow is not None:
             self._feed(flow, envelope, option, now)
-        elif self._is_owned(fields.connection_id):
+        elif self._flows.is_ours(fields.connection_id):
             self._reset(envelope, fields, option)
         elif fields.is_long and option.candidates:
             self._on_first(envelope, fields, option, now)
@@ -225,10 +225,6 @@
         flow.heard_at = now
         flow.datagram_received(envelope.payload, envelope.source)
 
-    def _is_owned(self, connection_id: bytes) -> bool:
-        service = self._given.service
-        return ownership.owner_of(self._key, service, connection_id) is not None
-
     def _reset(
         self,
         envelope: packets.Envelope,
@@ -271,7 +267,7 @@
             self._take(envelope, fields, option, now)
 
     def _own_load(self, now: float) -> placement.OwnLoad:
-        has_room = len(self._ids_by_flow) < self._given.max_connections
+        has_room = len(self._flows) < self._given.max_connections
         return placement.OwnLoad(
             self._given.slots,
             self._dispatcher.busy,
@@ -301,43 +297,30 @@
         except ValueError as error:
             self._drop('malformed', envelope.source, str(error))
             return
-        if negotiation is not None:
+        if negotiation is None:
+            self._open(envelope, fields, option, now)
+        else:
             self._answer(envelope, negotiation, option.entry)
-            return
-        connection = _quic.ServerConnection(
-            mint=self._mint,
-            reset_token=lambda issued: ownership.reset_token(self._key, issued),
-            configuration=self._quic,
-            original_destination_connection_id=fields.connection_id,
+
+    def _open(
+        self,
+        envelope: packets.Envelope,
+        fields: packets.QuicFields,
+        option: packets.Placement,
+        now: float,
+    ) -> None:
+        flow = self._flows.open(
+            fields.connection_id,
+            envelope.destination,
+            self._handlers,
         )
-        flow = _flows.Flow(connection, envelope.destination, self._handlers)
-        self._ids_by_flow[flow] = set()
-        self._register(flow, fields.connection_id)
-        self._register(flow, connection.host_cid)
-        flow.watch_ids(self._register, self._unregister)
         self._admission.reserve(flow, now)
         self._figures.count('flows_taken')
         self._feed(flow, envelope, option, now)
 
-    def _mint(self) -> bytes:
-        while True:
-            nonce = os.urandom(ownership.NONCE_BYTES)
-            minted = ownership.mint(self._key, self._given.service, self._owner, nonce)
-            if minted not in self._flow_by_connection_id:
-                return minted
-
-    def _register(self, flow: _flows.Flow, connection_id: bytes) -> None:
-        self._flow_by_connection_id[connection_id] = flow
-        self._ids_by_flow[flow].add(connection_id)
-
-    def _unregister(self, flow: _flows.Flow, connection_id: bytes) -> None:
-        self._flow_by_connection_id.pop(connection_id, None)
-        self._ids_by_flow.get(flow, set()).discard(connection_id)
-
     def _on_flow_gone(self, flow: _flows.Flow) -> None:
         self._admission.release(flow)
-        for connection_id in self._ids_by_flow.pop(flow, ()):
-            self._flow_by_connection_id.pop(connection_id, None)
+        self._flows.remove(flow)
 
     def _send(self, flow: _flows.Flow, payload: bytes, caller: tuple[str, int]) -> None:
         """Send a datagram of a flow to its caller through a live entry."""
@@ -419,14 +402,14 @@
 
     def _continue_drain(self, now: float) -> None:
         waited = now - self._drain_began_at
-        for flow in list(self._ids_by_flow):
+        for flow in self._flows.all():
             flow.go_away()
             if flow.is_idle and waited >= IDLE_GRACE_SECONDS:
                 flow.close()
-        if not self._ids_by_flow and waited >= IDLE_GRACE_SECONDS:
+        if not len(self._flows) and waited >= IDLE_GRACE_SECONDS:
             self._leave('empty')
         elif waited >= self._given.drain_seconds:
-            logs.get().warning('drain_is_overdue', flows=len(self._ids_by_flow))
+            logs.get().warning('drain_is_overdue', flows=len(self._flows))
             self._leave('overdue')
 
     def _leave(self, event: str) -> None:
--- a/src/egretjunction/caller.py
+++ b/src/egretjunction/caller.py
@@ -57,7 +57,7 @@
         self.body = body
         self.reason = reason
         self.attempts = 1
-        self.seconds = 0.0
+        self.seconds = float(0)
 
     @property
     def is_answered(self) -> bool:
@@ -84,7 +84,7 @@
 
     __slots__ = ('body', 'deadline', 'headers', 'is_idempotent', 'method', 'path')
 
-    def __init__(  # noqa: PLR0913
+    def __init__(
         self,
         *,
         method: str,
@@ -121,7 +121,7 @@
         self._service = service
         self._server_name = server_name
         self._authority_file = authority_file
-        self._random = random.Random(seed)  # noqa: S311
+        self._random = random.Random(seed)
         self._budget = retries.Budget()
         self._flow: _caller_flow.CallerFlow | None = None
         self._flow_lock = asyncio.Lock()
@@ -173,13 +173,24 @@
         :param last_id: number of the last update that the caller has.
         """
         while True:
-            try:
-                async for update in self._feed_once(path, last_id):
-                    if update.event_id > last_id:
-                        last_id = update.event_id
-                        yield update
-            except _caller_flow.FlowError:
-                await asyncio.sleep(FEED_RETRY_SECONDS * (1 + self._random.random()))
+            async for update in self._feed_until_broken(path, last_id):
+                last_id = update.event_id
+                yield update
+            await asyncio.sleep(FEED_RETRY_SECONDS * self._random.random())
+
+    async def _feed_until_broken(
+        self,
+        path: str,
+        last_id: int,
+    ) -> typing.AsyncIterator[Update]:
+        """Yield new updates from one connection until it moves or breaks."""
+        try:
+            async for update in self._feed_once(path, last_id):
+                if update.event_id > last_id:
+                    last_id = update.event_id
+                    yield update
+        except _caller_flow.FlowError:
+            await asyncio.sleep(FEED_RETRY_SECONDS)
 
     async def close(self) -> None:
         """Close the connection that is kept."""
@@ -359,7 +370,7 @@
         if end < 0:
             return taken
         block = bytes(answer.body[:end]).decode('utf-8', 'replace')
-        del answer.body[: end + 2]
+        answer.drop_body(end + 2)
         fields = dict(line.split(': ', 1) for line in block.split('\n') if ': ' in line)
         if fields.get('id', '').isdigit():
             taken.append(Update(int(fields['id']), fields.get('data', '')))
--- a/src/egretjunction/cli.py
+++ b/src/egretjunction/cli.py
@@ -32,7 +32,7 @@
 @app.command()
 def entry(settings_path: SettingsPath) -> None:
     """Run an entry daemon."""
-    from egretjunction import entry as daemon  # noqa: PLC0415
+    from egretjunction import entry as daemon
 
     given = settings.load(settings_path, 'entry')
     logs.configure(given.name)
@@ -42,7 +42,7 @@
 @app.command()
 def agent(settings_path: SettingsPath) -> None:
     """Run the agent beside a backend server."""
-    from egretjunction import agent as daemon  # noqa: PLC0415
+    from egretjunction import agent as daemon
 
     given = settings.load(settings_path, 'agent')
     logs.configure(f'agent-{given.name}')
@@ -50,7 +50,7 @@
 
 
 @app.command()
-def demo(  # noqa: PLR0913, PLR0917
+def demo(
     seconds: typing.Annotated[float, typer.Option(help='Length of the load.')] = 60,
     seed: typing.Annotated[int, typer.Option(help='Seed of the load.')] = 1,
     *,
@@ -68,11 +68,11 @@
 
     Ends with exit code 1 when a promise was broken.
     """
-    from egretjunction import demo as runner  # noqa: PLC0415
-    from egretjunction.standins import cluster  # noqa: PLC0415
+    from egretjunction import demo as runner
+    from egretjunction.standins import sizes
 
     logs.configure('demo', logging.WARNING)
-    size = cluster.LAKESHORE if lakeshore else cluster.SYLFAEN
+    size = sizes.LAKESHORE if lakeshore else sizes.SYLFAEN
     with tempfile.TemporaryDirectory(prefix='egretjunction-') as temporary:
         place = folder or pathlib.Path(temporary)
         place.mkdir(parents=True, exist_ok=True)
@@ -91,7 +91,7 @@
 @standin_app.command('platform')
 def standin_platform(settings_path: SettingsPath) -> None:
     """Run the stand-in for the platform's key-value service."""
-    from egretjunction.standins import platform  # noqa: PLC0415
+    from egretjunction.standins import platform
 
     given = settings.load(settings_path, 'platform')
     logs.configure('platform')
@@ -101,7 +101,7 @@
 @standin_app.command('fabric')
 def standin_fabric(settings_path: SettingsPath) -> None:
     """Run the stand-in for the packet fabric."""
-    from egretjunction.standins import fabric  # noqa: PLC0415
+    from egretjunction.standins import fabric
 
     given = settings.load(settings_path, 'fabric')
     logs.configure('fabric')
@@ -111,7 +111,7 @@
 @standin_app.command('backend')
 def standin_backend(settings_path: SettingsPath) -> None:
     """Run the stand-in for a backend server."""
-    from egretjunction.standins import backend  # noqa: PLC0415
+    from egretjunction.standins import backend
 
     given = settings.load(settings_path, 'backend')
     logs.configure(f'backend-{given.name}')
--- a/src/egretjunction/control.py
+++ b/src/egretjunction/control.py
@@ -131,7 +131,7 @@
     def _on_hub(self, frames: list[bytes]) -> None:
         identity = frames[0]
 
-        def reply(sealed: bytes) -> None:  # noqa: WPS430
+        def reply(sealed: bytes) -> None:
             hub = typing.cast('zmqstream.ZMQStream', self._hub)
             try:
                 hub.socket.send_multipart([identity, sealed], zmq.NOBLOCK)
@@ -141,7 +141,7 @@
         self._handle(frames[-1], reply)
 
     def _on_spoke(self, address: addresses.Address, frames: list[bytes]) -> None:
-        def reply(sealed: bytes) -> None:  # noqa: WPS430
+        def reply(sealed: bytes) -> None:
             try:
                 self._spoke(address).socket.send(sealed, zmq.NOBLOCK)
             except zmq.Again:
--- a/src/egretjunction/decisions/admission.py
+++ b/src/egretjunction/decisions/admission.py
@@ -82,8 +82,9 @@
         """
         key = (connection_id, option.hops, option.candidates)
         self._forget(now)
-        if key in self._passed_by_key:
-            return self._passed_by_key[key][1]
+        known = self._passed_by_key.get(key)
+        if known is not None:
+            return known[1]
         decision = placement.decide(
             own,
             option.hops,
--- a/src/egretjunction/decisions/agent_control.py
+++ b/src/egretjunction/decisions/agent_control.py
@@ -5,6 +5,7 @@
 from egretjunction import addresses
 from egretjunction import errors
 from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 from egretjunction.decisions import effects
 from egretjunction.decisions import membership
 from egretjunction.wire import messages
@@ -43,7 +44,7 @@
         self._announced_at = float('-inf')
 
     @property
-    def service(self) -> configuration.Service | None:
+    def service(self) -> document.Service | None:
         """Return the section of this agent's service, None while it has none."""
         return self.in_force.document.services.get(self.me.service)
 
@@ -121,7 +122,7 @@
         homes = [messages.to_member(each) for each in message.homes]
         entries = [messages.to_member(each) for each in message.entries]
         self._homes = [home.control for home in homes]
-        self._entries = sorted({each.address for each in [*homes, *entries]})
+        self._entries = sorted({each.address for each in (*homes, *entries)})
         for home in homes:
             self._heard_at_by_home[home.control] = now
         found: list[effects.Effect] = []
--- a/src/egretjunction/decisions/configuration.py
+++ b/src/egretjunction/decisions/configuration.py
@@ -1,114 +1,19 @@
-"""The operators' document: sections, services, merging and what is in force.
+"""Changes of the operators' document: merging them, and what is in force.
 
-The document is INI. ``[service NAME]`` describes a service and ``[team NAME]``
-a team that owns sections. The platform's head record holds the generation and
-the recent changes; whole documents are immutable snapshots beside it.
+The platform's head record holds the generation and the recent changes; whole
+documents are immutable snapshots beside it.
 """
 
 import difflib
-import fnmatch
-import hashlib
 import typing
 
 import msgspec
 
-from egretjunction import _ini
-from egretjunction import addresses
 from egretjunction import errors
+from egretjunction.decisions import document
 
-MAX_DOCUMENT_BYTES = 900_000
 MAX_RECENT_BYTES = 48_000
 MAX_RECENT_CHANGES = 64
-SERVICE_PREFIX = 'service '
-TEAM_PREFIX = 'team '
-OPERATORS_TEAM = 'operators'
-DEFAULT_SHARE = 100
-
-Name = typing.Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
-Positive = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=86_400)]
-Percent = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
-
-
-class Service(msgspec.Struct, frozen=True, kw_only=True):
-    """One ``[service NAME]`` section.
-
-    :param name: name of the service.
-    :param team: team that owns the section.
-    :param address: the address that callers use.
-    :param backend_servers: name patterns of the backend servers that may serve.
-    :param shares: ``pattern:percent`` pairs; the first match sets the share.
-    :param queue_limit: requests that may wait at one backend server.
-    :param large_paths: path patterns of large requests.
-    :param large_bytes: request bodies from this size on are large.
-    :param feed_paths: path patterns of feeds, which hold no slot.
-    :param idempotent_methods: methods that may run twice.
-    :param retry_percent: retries as a share of fresh requests.
-    :param slow_start_seconds: ramp of a backend server that became warm.
-    :param default_deadline_seconds: used when the caller names no deadline.
-    """
-
-    name: Name
-    team: Name
-    address: addresses.Address
-    backend_servers: tuple[str, ...]
-    shares: tuple[str, ...] = ()
-    queue_limit: Positive = 16
-    large_paths: tuple[str, ...] = ()
-    large_bytes: Positive = 262_144
-    feed_paths: tuple[str, ...] = ()
-    idempotent_methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE')
-    retry_percent: Percent = 10
-    slow_start_seconds: Seconds = 10
-    default_deadline_seconds: Seconds = 30
-
-    def may_serve(self, backend_server: str) -> bool:
-        """Tell whether a backend server's name matches one of the patterns."""
-        return matches_any(backend_server, self.backend_servers)
-
-    def share_of(self, backend_server: str) -> float:
-        """Return the share of a backend server, 1 for a full one."""
-        for pair in self.shares:
-            pattern, _, percent = pair.rpartition(':')
-            if fnmatch.fnmatchcase(backend_server, pattern):
-                return int(percent) / DEFAULT_SHARE
-        return 1
-
-
-class Team(msgspec.Struct, frozen=True, kw_only=True):
-    """One ``[team NAME]`` section.
-
-    :param name: name of the team.
-    :param key_sha256: digest of the key that the team's operators hold.
-    """
-
-    name: Name
-    key_sha256: typing.Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
-
-
-class Document:
-    """A checked document.
-
-    :param sections: text of each section by its name, header line included.
-    :param services: services by name.
-    :param teams: teams by name.
-    """
-
-    __slots__ = ('sections', 'services', 'teams')
-
-    def __init__(
-        self,
-        sections: dict[str, str],
-        services: dict[str, Service],
-        teams: dict[str, Team],
-    ) -> None:
-        self.sections = sections
-        self.services = services
-        self.teams = teams
-
-    def text(self) -> str:
-        """Return the whole document."""
-        return join(self.sections)
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
@@ -141,121 +46,13 @@
     recent: tuple[Change, ...]
 
 
-def matches_any(text: str, patterns: typing.Iterable[str]) -> bool:
-    """Tell whether a text matches one of some shell patterns."""
-    return any(fnmatch.fnmatchcase(text, pattern) for pattern in patterns)
-
-
-def split(text: str) -> dict[str, str]:
-    """Cut a document into its sections, comments included.
-
-    :param text: the document.
-    :return: text by section name; lines before the first header are under ``''``.
-    """
-    lines_by_section: dict[str, list[str]] = {}
-    current = ''
-    for line in text.splitlines():
-        stripped = line.strip()
-        if stripped.startswith('[') and stripped.endswith(']'):
-            current = stripped[1:-1]
-        if current or stripped:
-            lines_by_section.setdefault(current, []).append(line.rstrip())
-    return {
-        name: '\n'.join(lines).strip('\n') + '\n'
-        for name, lines in lines_by_section.items()
-    }
-
-
-def join(sections: dict[str, str]) -> str:
-    """Return the document of some sections, separated by blank lines."""
-    return '\n'.join(sections.values())
-
-
-def digest(text: str) -> str:
-    """Return the SHA-256 of a text in hexadecimal."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
-def parse(text: str, source: str) -> Document:
-    """Check a document and return it.
-
-    :param text: the document.
-    :param source: file name for messages.
-    :raises errors.RefusedError: when it is larger than the stated maximum.
-    :raises errors.SettingsErrors: with every error in it.
-    """
-    size = len(text.encode())
-    if size > MAX_DOCUMENT_BYTES:
-        raise errors.RefusedError(
-            f'{source}: document has {size} bytes, allowed: {MAX_DOCUMENT_BYTES}',
-        )
-    reader = _ini.SectionReader(text, source)
-    services: dict[str, Service] = {}
-    teams: dict[str, Team] = {}
-    for section in reader.parser.sections():
-        if section.startswith(SERVICE_PREFIX):
-            name = section.removeprefix(SERVICE_PREFIX)
-            service = _read_named(reader, section, Service, name)
-            if service is not None:
-                services[name] = service
-        elif section.startswith(TEAM_PREFIX):
-            name = section.removeprefix(TEAM_PREFIX)
-            team = _read_named(reader, section, Team, name)
-            if team is not None:
-                teams[name] = team
-        else:
-            allowed = '"service NAME" or "team NAME"'
-            reader.report(section, '*', section, allowed)
-    _check_references(reader, services, teams)
-    reader.finish()
-    return Document(split(text), services, teams)
-
-
-def _read_named(
-    reader: _ini.SectionReader,
-    section: str,
-    kind: type,
-    name: str,
-) -> typing.Any:
-    """Read one section whose header carries a name."""
-    try:
-        msgspec.convert(name, Name)
-    except msgspec.ValidationError:
-        allowed = 'lower-case letters, digits, dots and hyphens, at most 63'
-        reader.report(section, '*', name, allowed)
-        return None
-    return reader.read(section, kind, name=name)
-
-
-def _check_references(
-    reader: _ini.SectionReader,
-    services: dict[str, Service],
-    teams: dict[str, Team],
-) -> None:
-    section_by_address: dict[addresses.Address, str] = {}
-    for service in services.values():
-        section = SERVICE_PREFIX + service.name
-        if service.team not in teams and reader.parser.has_section(section):
-            known = ', '.join(sorted(teams)) or 'none is defined'
-            reader.report(section, 'team', service.team, f'a defined team: {known}')
-        other = section_by_address.setdefault(service.address, section)
-        if other != section:
-            allowed = f'an address that [{other}] does not use'
-            reader.report(section, 'address', str(service.address), allowed)
-        for pair in service.shares:
-            percent = pair.rpartition(':')[2]
-            if ':' not in pair or not percent.isdigit():
-                allowed = 'pattern:percent pairs such as bookings-1:50'
-                reader.report(section, 'shares', pair, allowed)
-
-
 def difference(
     before: dict[str, str],
     after: dict[str, str],
 ) -> dict[str, str | None]:
     """Return the sections that differ, with None for a removed one."""
     changed: dict[str, str | None] = {}
-    for name in [*before, *after]:
+    for name in (*before, *after):
         if before.get(name) != after.get(name):
             changed[name] = after.get(name)
     return changed
@@ -316,49 +113,6 @@
     return patch(theirs, our_change)
 
 
-def owner_of(document: Document, section: str) -> str | None:
-    """Return the team that owns a section, or None when it has no owner."""
-    if section.startswith(TEAM_PREFIX):
-        name = section.removeprefix(TEAM_PREFIX)
-        return name if name in document.teams else None
-    service = document.services.get(section.removeprefix(SERVICE_PREFIX))
-    return service.team if service is not None else None
-
-
-def check_ownership(
-    before: Document,
-    after: Document,
-    changed: typing.Iterable[str],
-    team: str,
-    key_sha256: str,
-) -> None:
-    """Check that a team may make a change.
-
-    The accepted document decides who owns a section that exists; the new one
-    decides for sections that it adds. The team ``operators`` may change all.
-
-    :param before: the accepted document.
-    :param after: the wanted document.
-    :param changed: names of the changed sections.
-    :param team: the team that makes the change.
-    :param key_sha256: digest of the key that the operator presents.
-    :raises errors.OwnershipError: when the team or its key is the wrong one.
-    """
-    known = before.teams.get(team) or after.teams.get(team)
-    if known is None:
-        raise errors.OwnershipError(f'team "{team}" is in no [team] section')
-    if known.key_sha256 != key_sha256:
-        raise errors.OwnershipError(f'the key is not that of team "{team}"')
-    if team == OPERATORS_TEAM or not before.teams:
-        return
-    for section in changed:
-        owner = owner_of(before, section) or owner_of(after, section)
-        if owner != team:
-            raise errors.OwnershipError(
-                f'section "{section}" belongs to team "{owner}", not to "{team}"',
-            )
-
-
 def advance(
     head: Head | None,
     change: Change,
@@ -372,7 +126,8 @@
     :param snapshot_key: where the new document was put.
     :param document_text: the new document.
     """
-    recent = [*(head.recent if head else ()), change]
+    known = () if head is None else head.recent
+    recent = [*known, change]
     dropped = []
     while len(recent) > 1 and (
         len(recent) > MAX_RECENT_CHANGES
@@ -385,7 +140,7 @@
         generation=change.generation,
         change_id=change.change_id,
         snapshot_key=snapshot_key,
-        snapshot_sha256=digest(document_text),
+        snapshot_sha256=document.digest(document_text),
         recent=tuple(recent),
     )
     return advanced, tuple(dropped)
@@ -402,7 +157,7 @@
     def __init__(self) -> None:
         self.generation = 0
         self.change_id = ''
-        self.document = Document({}, {}, {})
+        self.document = document.Document({}, {}, {})
         self.recent: tuple[Change, ...] = ()
 
     def follow(self, changes: typing.Iterable[Change]) -> bool:
@@ -423,8 +178,8 @@
                 wanted += 1
         if not applied:
             return False
-        text = join(sections)
-        self._set(applied[-1], parse(text, f'generation {wanted - 1}'))
+        text = document.join(sections)
+        self._set(applied[-1], document.parse(text, f'generation {wanted - 1}'))
         self._remember(applied)
         return True
 
@@ -437,7 +192,8 @@
         """
         if change.generation <= self.generation:
             return False
-        self._set(change, parse(text, f'generation {change.generation}'))
+        source = f'generation {change.generation}'
+        self._set(change, document.parse(text, source))
         self.recent = ()
         self._remember([change])
         return True
@@ -454,10 +210,10 @@
             return later
         return None
 
-    def _set(self, change: Change, document: Document) -> None:
+    def _set(self, change: Change, followed: document.Document) -> None:
         self.generation = change.generation
         self.change_id = change.change_id
-        self.document = document
+        self.document = followed
 
     def _remember(self, applied: list[Change]) -> None:
         kept = [*self.recent, *applied][-MAX_RECENT_CHANGES:]
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -1,11 +1,14 @@
 """An entry's part in membership and configuration: messages in, effects out."""
 
+import itertools
+import types
 import typing
 
 import msgspec
 
 from egretjunction import errors
 from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 from egretjunction.decisions import domains
 from egretjunction.decisions import effects
 from egretjunction.decisions import membership
@@ -216,6 +219,7 @@
         entries = self.view.entries()
         step = max(1, len(entries) // ENTRIES_IN_WELCOME)
         start = membership.bucket_of(name) % step
+        told = itertools.islice(entries, start, None, step)
         welcome = messages.Welcome(
             messages.to_record(typing.cast('membership.Member', self.view.get(name))),
             self.in_force.generation,
@@ -224,7 +228,7 @@
             ),
             tuple(
                 messages.to_record(entry)
-                for entry in entries[start::step][:ENTRIES_IN_WELCOME]
+                for entry in itertools.islice(told, ENTRIES_IN_WELCOME)
             ),
         )
         found.append(effects.Reply(welcome))
@@ -306,14 +310,14 @@
 
     def _service_snapshot(self, service: str) -> messages.ConfigurationSnapshot:
         """Return the part of the document that one service's agents need."""
-        document = self.in_force.document
-        found = document.services.get(service)
+        followed = self.in_force.document
+        found = followed.services.get(service)
         wanted = []
         if found is not None:
-            wanted.append(configuration.SERVICE_PREFIX + service)
-            wanted.append(configuration.TEAM_PREFIX + found.team)
-        text = configuration.join(
-            {name: document.sections[name] for name in wanted},
+            wanted.append(document.SERVICE_PREFIX + service)
+            wanted.append(document.TEAM_PREFIX + found.team)
+        text = document.join(
+            {name: followed.sections[name] for name in wanted},
         )
         last = msgspec.structs.replace(self._last_change(), sections={})
         return messages.ConfigurationSnapshot(last, text)
@@ -333,13 +337,15 @@
         return self.adopt_snapshot(message.change, message.text, now)
 
 
-_HANDLERS: dict[type, typing.Callable] = {
-    messages.Announce: EntryControl._on_announce,  # noqa: SLF001
-    messages.Deltas: EntryControl._on_deltas,  # noqa: SLF001
-    messages.Digest: EntryControl._on_digest,  # noqa: SLF001
-    messages.Buckets: EntryControl._on_buckets,  # noqa: SLF001
-    messages.Repair: EntryControl._on_repair,  # noqa: SLF001
-    messages.ConfigurationWanted: EntryControl._on_wanted,  # noqa: SLF001
-    messages.ConfigurationChanges: EntryControl._on_changes,  # noqa: SLF001
-    messages.ConfigurationSnapshot: EntryControl._on_snapshot,  # noqa: SLF001
-}
+_HANDLERS: typing.Mapping[type, typing.Callable] = types.MappingProxyType(
+    {
+        messages.Announce: EntryControl._on_announce,
+        messages.Deltas: EntryControl._on_deltas,
+        messages.Digest: EntryControl._on_digest,
+        messages.Buckets: EntryControl._on_buckets,
+        messages.Repair: EntryControl._on_repair,
+        messages.ConfigurationWanted: EntryControl._on_wanted,
+        messages.ConfigurationChanges: EntryControl._on_changes,
+        messages.ConfigurationSnapshot: EntryControl._on_snapshot,
+    },
+)
--- a/src/egretjunction/decisions/membership.py
+++ b/src/egretjunction/decisions/membership.py
@@ -8,6 +8,7 @@
 
 import enum
 import heapq
+import itertools
 import typing
 
 import xxhash
@@ -77,7 +78,7 @@
         'state',
     )
 
-    def __init__(  # noqa: PLR0913
+    def __init__(
         self,
         *,
         name: str,
@@ -154,7 +155,7 @@
         self._by_name: dict[str, Member] = {}
         self._agents_by_service: dict[str, dict[str, Member]] = {}
         self._gone_at_by_name: dict[str, float] = {}
-        self._buckets = [0] * BUCKET_COUNT
+        self._buckets = [0 for _ in range(BUCKET_COUNT)]
 
     def __len__(self) -> int:
         """Return the number of records, those of gone members included."""
@@ -345,7 +346,7 @@
     def take(self, limit: int) -> list[str]:
         """Return the names to send in this round, fewest sends so far first."""
         ranked = sorted(self._left_by_name, key=self._left_by_name.__getitem__)
-        chosen = ranked[::-1][:limit]
+        chosen = list(itertools.islice(reversed(ranked), limit))
         for name in chosen:
             self._left_by_name[name] -= 1
             if not self._left_by_name[name]:
--- a/src/egretjunction/decisions/placement.py
+++ b/src/egretjunction/decisions/placement.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import operator
 import typing
 
 import xxhash
@@ -9,7 +10,8 @@
 CANDIDATE_COUNT = 4
 LOAD_PER_SLOT = 100
 MAX_LOAD = 65535
-_HASH_RANGE = float(1 << 64)
+HASH_BITS = 64
+_HASH_RANGE = float(2**HASH_BITS)
 
 
 class Choice(typing.Protocol):
@@ -39,8 +41,8 @@
             digest = xxhash.xxh3_64_intdigest(member.name.encode() + flow_key)
             uniform = (digest + 1) / (_HASH_RANGE + 1)
             scored.append((-math.log(uniform) / member.weight, member.name, member))
-    scored.sort(key=lambda each: each[:2])
-    return [member for _, _, member in scored[:count]]
+    scored.sort(key=operator.itemgetter(0, 1))
+    return [each[2] for each in scored[:count]]
 
 
 def slow_start_weight(age_seconds: float, ramp_seconds: float) -> float:
--- a/src/egretjunction/decisions/policy.py
+++ b/src/egretjunction/decisions/policy.py
@@ -2,8 +2,8 @@
 
 import enum
 
-from egretjunction.decisions import configuration
 from egretjunction.decisions import dispatch
+from egretjunction.decisions import document
 
 
 class Treatment(enum.Enum):
@@ -22,7 +22,7 @@
 
 
 def treatment(
-    service: configuration.Service,
+    service: document.Service,
     path: str,
     content_length: int | None,
 ) -> Treatment:
@@ -32,9 +32,9 @@
     :param path: path of the request.
     :param content_length: length of the body when the caller said so.
     """
-    if configuration.matches_any(path, service.feed_paths):
+    if document.matches_any(path, service.feed_paths):
         return Treatment.FEED
-    if configuration.matches_any(path, service.large_paths):
+    if document.matches_any(path, service.large_paths):
         return Treatment.LARGE
     if content_length is not None and content_length >= service.large_bytes:
         return Treatment.LARGE
--- a/src/egretjunction/decisions/routing.py
+++ b/src/egretjunction/decisions/routing.py
@@ -5,10 +5,12 @@
 """
 
 import collections
+import typing
 
 from egretjunction import addresses
 from egretjunction import errors
 from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 from egretjunction.decisions import domains
 from egretjunction.decisions import health
 from egretjunction.decisions import membership
@@ -94,13 +96,13 @@
         self._in_force = in_force
         self._reach = reach
         self._addressed_generation = 0
-        self._service_by_address: dict[addresses.Address, configuration.Service] = {}
+        self._service_by_address: dict[addresses.Address, document.Service] = {}
         self._serving_since_by_name: dict[str, tuple[int, float]] = {}
         self._seen_by_connection_id: collections.OrderedDict[bytes, _Seen] = (
             collections.OrderedDict()
         )
 
-    def service_at(self, address: addresses.Address) -> configuration.Service | None:
+    def service_at(self, address: addresses.Address) -> document.Service | None:
         """Return the service that callers reach at an address."""
         if self._addressed_generation != self._in_force.generation:
             services = self._in_force.document.services.values()
@@ -138,7 +140,7 @@
 
     def _route_first(
         self,
-        service: configuration.Service,
+        service: document.Service,
         connection_id: bytes,
         now: float,
     ) -> Forward | Drop:
@@ -146,11 +148,11 @@
         if not chosen:
             return Drop('no_backend_server')
         turn = self._repeats(connection_id, now) % len(chosen)
-        listed = tuple(each.member.address for each in chosen)  # type: ignore[attr-defined]
-        listed = listed[turn:] + listed[:turn]
+        weighted = typing.cast('list[_Weighted]', chosen[turn:] + chosen[:turn])
+        listed = tuple(each.member.address for each in weighted)
         return Forward(listed[0], listed)
 
-    def weighted(self, service: configuration.Service, now: float) -> list[_Weighted]:
+    def weighted(self, service: document.Service, now: float) -> list[_Weighted]:
         """Return the agents that may take new flows, with their weights."""
         members = membership.eligible(
             self._view.agents(service.name),
@@ -166,7 +168,7 @@
 
     def _weight(
         self,
-        service: configuration.Service,
+        service: document.Service,
         member: membership.Member,
         now: float,
     ) -> float:
--- a/src/egretjunction/demo.py
+++ b/src/egretjunction/demo.py
@@ -17,10 +17,11 @@
 from egretjunction import metrics
 from egretjunction import operators
 from egretjunction import platform
-from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 from egretjunction.standins import cluster
+from egretjunction.standins import customers
 from egretjunction.standins import fabric
-from egretjunction.standins import load
+from egretjunction.standins import sizes
 
 SETTLE_SECONDS = 20.0
 PROGRESS_SECONDS = 5.0
@@ -36,6 +37,8 @@
 DRAIN_AT = 0.5
 FABRIC_NOTICE_SECONDS = 1.0
 SLOTS = 2
+POLL_SECONDS = 0.2
+BOOKING_SHARE = 0.8
 
 
 class Event(msgspec.Struct):
@@ -55,13 +58,13 @@
     user: str
     seconds: float
     seed: int
-    totals: load.Totals
+    totals: customers.Totals
     imbalance_by_service: dict[str, tuple[float, float]]
     latency_by_kind: dict[str, dict[str, float]]
     verdicts_by_kind: dict[str, dict[str, int]]
     events: list[Event]
-    samples: list[load.Sample]
-    feeds: list[load.FeedResult]
+    samples: list[customers.Sample]
+    feeds: list[customers.FeedResult]
 
 
 class Demo:
@@ -81,36 +84,36 @@
     async def run(self) -> Result:
         """Configure the system, drive the load and return what was seen."""
         await self._configure()
-        customers = load.Load(
+        crowd = customers.Load(
             self._system.address_by_service,
             str(self._system.authority_file),
             self._seed,
         )
         work = [
-            customers.run_kind(kind, self._seconds) for kind in kinds(self._system.size)
+            crowd.run_kind(kind, self._seconds) for kind in kinds(self._system.size)
         ]
         work.extend(
-            customers.run_feed(service.name, self._seconds)
+            crowd.run_feed(service.name, self._seconds)
             for service in self._system.size.services
             for _ in range(FEEDS_PER_SERVICE)
         )
-        progress = asyncio.create_task(self._show_progress(customers))
-        await asyncio.gather(*work, self._changes(customers))
-        await customers.finish()
+        progress = asyncio.create_task(self._show_progress(crowd))
+        await asyncio.gather(*work, self._changes(crowd))
+        await crowd.finish()
         progress.cancel()
-        return self._result(customers)
+        return self._result(crowd)
 
     async def _configure(self) -> None:
         """Have the document accepted and wait until every agent serves."""
         service = platform.Platform(self._system.platform_url)
-        text = self._system.document()
-        wanted = configuration.parse(text, 'demo document')
+        text = self._system.document_text()
+        wanted = document.parse(text, 'demo document')
         team = self._system.size.services[0].team
         author = operators.Author('demo', team, cluster.team_key_digest(team), 'start')
         await operators.apply(service, operators.EMPTY, wanted, author)
         deadline = time.monotonic() + SETTLE_SECONDS
         while not self._is_settled() and time.monotonic() < deadline:
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(POLL_SECONDS)
 
     def _is_settled(self) -> bool:
         """Tell whether every entry sees every agent serve."""
@@ -123,26 +126,26 @@
                     return False
         return True
 
-    async def _changes(self, customers: load.Load) -> None:
+    async def _changes(self, crowd: customers.Load) -> None:
         """Replace an entry and a backend server while the load goes on."""
         await asyncio.sleep(self._seconds * ENTRY_AT)
-        await self._replace_entry(customers)
+        await self._replace_entry(crowd)
         await asyncio.sleep(self._seconds * (DRAIN_AT - ENTRY_AT))
-        await self._replace_server(customers)
+        await self._replace_server(crowd)
 
-    def _note(self, customers: load.Load, text: str) -> None:
-        self._events.append(Event(round(customers.elapsed, 2), text))
+    def _note(self, crowd: customers.Load, text: str) -> None:
+        self._events.append(Event(round(crowd.elapsed, 2), text))
 
-    async def _replace_entry(self, customers: load.Load) -> None:
+    async def _replace_entry(self, crowd: customers.Load) -> None:
         system = self._system
         new = f'entry-{system.size.entries + 1}'
         system.start_entry(new, system.domain(0))
         await asyncio.to_thread(system.wait_for, [new])
-        self._note(customers, f'{new} joins')
+        self._note(crowd, f'{new} joins')
         await asyncio.sleep(FABRIC_NOTICE_SECONDS)
         old = 'entry-1'
         system.send_signal(old, signal.SIGTERM)
-        self._note(customers, f'{old} leaves')
+        self._note(crowd, f'{old} leaves')
         live = [data for name, data in system.data_by_entry.items() if name != old]
         conditions = fabric.Conditions(
             entries=[str(data) for data in live],
@@ -153,48 +156,48 @@
         body = msgspec.json.encode(conditions)
         await asyncio.to_thread(system.post, address, '/conditions', body)
 
-    async def _replace_server(self, customers: load.Load) -> None:
+    async def _replace_server(self, crowd: customers.Load) -> None:
         system = self._system
         service = system.size.services[0]
         leaving = f'{service.name}-1'
         system.send_signal(f'agent-{leaving}', signal.SIGTERM)
-        self._note(customers, f'{leaving} drains')
+        self._note(crowd, f'{leaving} drains')
         name = system.start_server(service, service.servers, COLD_SECONDS)
         await asyncio.to_thread(system.wait_for, [f'agent-{name}'])
-        self._note(customers, f'{name} joins cold')
+        self._note(crowd, f'{name} joins cold')
 
-    async def _show_progress(self, customers: load.Load) -> None:
+    async def _show_progress(self, crowd: customers.Load) -> None:
         while True:
             await asyncio.sleep(PROGRESS_SECONDS)
-            broken = sum(1 for each in customers.samples if each.broken)
-            updates = sum(each.updates for each in customers.feeds)
+            broken = sum(1 for each in crowd.samples if each.broken)
+            updates = sum(each.updates for each in crowd.feeds)
             sys.stderr.write(
-                f'{customers.elapsed:5.0f} s of {self._seconds:.0f}: '
-                f'{len(customers.samples)} requests, {updates} feed updates, '
+                f'{crowd.elapsed:5.0f} s of {self._seconds:.0f}: '
+                f'{len(crowd.samples)} requests, {updates} feed updates, '
                 f'{broken} broken\n',
             )
 
-    def _result(self, customers: load.Load) -> Result:
+    def _result(self, crowd: customers.Load) -> Result:
         runs: collections.Counter[str] = collections.Counter()
         for address in self._system.backend_by_server.values():
             runs.update(read_runs(self._system, address))
-        samples = customers.samples
+        samples = crowd.samples
         return Result(
             user=self._system.size.user,
             seconds=self._seconds,
             seed=self._seed,
-            totals=load.total(samples, customers.feeds, runs),
+            totals=customers.total(samples, crowd.feeds, runs),
             imbalance_by_service=self._imbalance(samples),
             latency_by_kind=_latencies(samples),
             verdicts_by_kind=_verdicts(samples),
             events=self._events,
             samples=samples,
-            feeds=customers.feeds,
+            feeds=crowd.feeds,
         )
 
     def _imbalance(
         self,
-        samples: typing.Sequence[load.Sample],
+        samples: typing.Sequence[customers.Sample],
     ) -> dict[str, tuple[float, float]]:
         """Measure before the first change of backend servers."""
         found = {}
@@ -212,31 +215,31 @@
         return found
 
 
-def kinds(size: cluster.Size) -> list[load.Kind]:
-    """Return the work for a user's size: small on the first service, large on the last."""
+def kinds(size: sizes.Size) -> list[customers.Kind]:
+    """Return the work for a user: small on the first service, large on the last."""
     small, large = size.services
     small_rate = small.servers * SLOTS / (SMALL_MS / 1000) * LOAD_SHARE
     large_rate = large.servers * SLOTS / (LARGE_MS / 1000) * LOAD_SHARE
     return [
-        load.Kind(
+        customers.Kind(
             name='booking',
             service=small.name,
             method='POST',
             path='/bookings',
             work_ms=SMALL_MS,
             body_bytes=SMALL_BYTES,
-            per_second=small_rate * 0.8,
+            per_second=small_rate * BOOKING_SHARE,
         ),
-        load.Kind(
+        customers.Kind(
             name='reschedule',
             service=small.name,
             method='PUT',
             path='/bookings/1',
             work_ms=SMALL_MS,
             body_bytes=SMALL_BYTES,
-            per_second=small_rate * 0.2,
+            per_second=small_rate * (1 - BOOKING_SHARE),
         ),
-        load.Kind(
+        customers.Kind(
             name='photo',
             service=large.name,
             method='POST',
@@ -262,7 +265,7 @@
 
 
 def _latencies(
-    samples: typing.Sequence[load.Sample],
+    samples: typing.Sequence[customers.Sample],
 ) -> dict[str, dict[str, float]]:
     by_kind: dict[str, metrics.Latencies] = {}
     for each in samples:
@@ -276,7 +279,7 @@
     }
 
 
-def _verdicts(samples: typing.Sequence[load.Sample]) -> dict[str, dict[str, int]]:
+def _verdicts(samples: typing.Sequence[customers.Sample]) -> dict[str, dict[str, int]]:
     by_kind: dict[str, collections.Counter[str]] = {}
     for each in samples:
         by_kind.setdefault(each.kind, collections.Counter())[each.verdict] += 1
@@ -286,15 +289,29 @@
 def show(result: Result) -> None:
     """Print the tables that end a run."""
     console = rich.console.Console()
+    console.print(_totals_table(result))
+    console.print(_imbalance_table(result))
+    console.print(_latency_table(result))
+    for event in result.events:
+        console.print(f'{event.at:7.2f} s  {event.text}')
+
+
+def _totals_table(result: Result) -> rich.table.Table:
     totals = rich.table.Table(title=f'{result.user}: promises', show_header=False)
     for name, count in msgspec.structs.asdict(result.totals).items():
         shown = f'{count:.3f}' if isinstance(count, float) else str(count)
         totals.add_row(name.replace('_', ' '), shown)
-    console.print(totals)
+    return totals
+
+
+def _imbalance_table(result: Result) -> rich.table.Table:
     balance = rich.table.Table('service', 'max/mean', 'variation', title='imbalance')
     for name, (ratio, variation) in result.imbalance_by_service.items():
         balance.add_row(name, f'{ratio:.3f}', f'{variation:.3f}')
-    console.print(balance)
+    return balance
+
+
+def _latency_table(result: Result) -> rich.table.Table:
     latency = rich.table.Table(title='latency in seconds')
     latency.add_column('kind')
     for share in metrics.QUANTILES:
@@ -303,17 +320,14 @@
     for kind, found in result.latency_by_kind.items():
         seconds = [f'{each:.3f}' for each in found.values()]
         counted = result.verdicts_by_kind[kind]
-        latency.add_row(
-            kind, *seconds, ' '.join(f'{k}={n}' for k, n in counted.items())
-        )
-    console.print(latency)
-    for event in result.events:
-        console.print(f'{event.at:7.2f} s  {event.text}')
+        shown = ' '.join(f'{verdict}={count}' for verdict, count in counted.items())
+        latency.add_row(kind, *seconds, shown)
+    return latency
 
 
 def run(
     folder: pathlib.Path,
-    size: cluster.Size,
+    size: sizes.Size,
     seconds: float,
     seed: int,
 ) -> Result:
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/entry.py
@@ -19,6 +19,7 @@
 from egretjunction import platform
 from egretjunction import settings
 from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 from egretjunction.decisions import entry_control
 from egretjunction.decisions import incarnations
 from egretjunction.decisions import membership
@@ -245,7 +246,7 @@
 
     async def _take_snapshot(self, head: configuration.Head) -> None:
         item = await self._platform.get(head.snapshot_key)
-        if configuration.digest(item.value) != head.snapshot_sha256:
+        if document.digest(item.value) != head.snapshot_sha256:
             logs.get().error('snapshot_is_wrong', key=head.snapshot_key)
             raise errors.PlatformUnavailableError('snapshot does not match its digest')
         change = head.recent[-1]
--- a/src/egretjunction/metrics.py
+++ b/src/egretjunction/metrics.py
@@ -9,7 +9,8 @@
 PREFIX = 'egretjunction_'
 MICROSECONDS_PER_SECOND = 1_000_000
 LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 3_600 * MICROSECONDS_PER_SECOND
+SECONDS_PER_HOUR = 3_600
+HIGHEST_MICROSECONDS = SECONDS_PER_HOUR * MICROSECONDS_PER_SECOND
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
@@ -25,7 +26,7 @@
             HIGHEST_MICROSECONDS,
             SIGNIFICANT_DIGITS,
         )
-        self._sum_seconds = 0.0
+        self._sum_seconds = float(0)
 
     def record(self, seconds: float) -> None:
         """Add one duration."""
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -9,11 +9,12 @@
 from egretjunction import logs
 from egretjunction import platform
 from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 
 HEAD_KEY = 'config/head'
 SNAPSHOT_PREFIX = 'config/snapshot/'
 APPLY_ATTEMPTS = 8
-EMPTY = configuration.Document({}, {}, {})
+EMPTY = document.Document({}, {}, {})
 
 
 class Author:
@@ -48,7 +49,7 @@
         self,
         head: configuration.Head | None,
         revision: int,
-        document: configuration.Document,
+        document: document.Document,
     ) -> None:
         self.head = head
         self.revision = revision
@@ -70,18 +71,18 @@
         return Accepted(None, 0, EMPTY)
     head = msgspec.json.decode(item.value, type=configuration.Head)
     snapshot = await service.get(head.snapshot_key)
-    if configuration.digest(snapshot.value) != head.snapshot_sha256:
+    if document.digest(snapshot.value) != head.snapshot_sha256:
         raise errors.PlatformUnavailableError(
             f'"{head.snapshot_key}" does not match the digest in the head',
         )
-    document = configuration.parse(snapshot.value, head.snapshot_key)
-    return Accepted(head, item.revision, document)
+    accepted = document.parse(snapshot.value, head.snapshot_key)
+    return Accepted(head, item.revision, accepted)
 
 
 async def read_generation(
     service: platform.Platform,
     generation: int,
-) -> configuration.Document:
+) -> document.Document:
     """Return the document of an earlier generation.
 
     :raises errors.RefusedError: when the service has no such snapshot.
@@ -96,14 +97,14 @@
     )
     for item in items:
         if item.key.removeprefix(prefix) in known or len(items) == 1:
-            return configuration.parse(item.value, item.key)
+            return document.parse(item.value, item.key)
     raise errors.RefusedError(f'there is no snapshot of generation {generation}')
 
 
 async def apply(
     service: platform.Platform,
-    base: configuration.Document,
-    wanted: configuration.Document,
+    base: document.Document,
+    wanted: document.Document,
     author: Author,
 ) -> configuration.Change | None:
     """Have a change accepted: merge, check, then compare-and-swap.
@@ -148,11 +149,11 @@
 
 
 def _merged(
-    base: configuration.Document,
-    wanted: configuration.Document,
+    base: document.Document,
+    wanted: document.Document,
     accepted: Accepted,
     author: Author,
-) -> configuration.Document | None:
+) -> document.Document | None:
     sections = configuration.merge(
         base.sections,
         wanted.sections,
@@ -161,8 +162,8 @@
     changed = configuration.difference(accepted.document.sections, sections)
     if not changed:
         return None
-    merged = configuration.parse(configuration.join(sections), 'merged document')
-    configuration.check_ownership(
+    merged = document.parse(document.join(sections), 'merged document')
+    document.check_ownership(
         accepted.document,
         merged,
         changed,
@@ -174,7 +175,7 @@
 
 def _change(
     accepted: Accepted,
-    merged: configuration.Document,
+    merged: document.Document,
     author: Author,
     change_id: str,
 ) -> configuration.Change:
@@ -193,7 +194,7 @@
 async def _write(
     service: platform.Platform,
     accepted: Accepted,
-    merged: configuration.Document,
+    merged: document.Document,
     change: configuration.Change,
 ) -> configuration.Change:
     """Put the snapshot, then swap the head; only the swap makes it accepted."""
--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -13,8 +13,11 @@
 WATCH_SECONDS = 30.0
 WATCH_GRACE_SECONDS = 5.0
 MAX_VALUE_BYTES = 1_000_000
+MAX_CALLS = 20
+HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
+HTTP_SERVER_ERROR = 500
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -52,7 +55,7 @@
         self._url = url.rstrip('/')
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
-            max_clients=20,
+            max_clients=MAX_CALLS,
         )
 
     async def get(self, key: str) -> Item:
@@ -149,7 +152,7 @@
         except httpclient.HTTPClientError as error:
             if error.code in {HTTP_CONFLICT, HTTP_NOT_FOUND}:
                 raise errors.ConflictError(f'{path}: {error}') from error
-            if 400 <= error.code < 500:
+            if HTTP_BAD_REQUEST <= error.code < HTTP_SERVER_ERROR:
                 raise errors.PlatformUnavailableError(f'refused: {error}') from error
             raise errors.NotKnownError(f'write without answer: {error}') from error
         except OSError as error:
--- a/src/egretjunction/settings.py
+++ b/src/egretjunction/settings.py
@@ -1,6 +1,7 @@
 """Checked settings of each process, read from INI files."""
 
 import pathlib
+import types
 import typing
 
 import msgspec
@@ -8,16 +9,16 @@
 from egretjunction import _ini
 from egretjunction import addresses
 from egretjunction import errors
-from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 
 MIN_KEY_BYTES = 16
 MAX_KEY_BYTES = 32
 
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
-Count = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1, le=document.MAX_COUNT)]
 Seed = typing.Annotated[int, msgspec.Meta(ge=0)]
-Seconds = configuration.Seconds
-Name = configuration.Name
+Seconds = document.Seconds
+Name = document.Name
 
 
 class Entry(msgspec.Struct, frozen=True, kw_only=True):
@@ -134,13 +135,15 @@
     seed: Seed = 0
 
 
-KIND_BY_SECTION: dict[str, type] = {
-    'entry': Entry,
-    'agent': Agent,
-    'platform': Platform,
-    'backend': Backend,
-    'fabric': Fabric,
-}
+KIND_BY_SECTION: typing.Mapping[str, type] = types.MappingProxyType(
+    {
+        'entry': Entry,
+        'agent': Agent,
+        'platform': Platform,
+        'backend': Backend,
+        'fabric': Fabric,
+    },
+)
 
 
 def load(path: str, section: str) -> typing.Any:
--- a/src/egretjunction/standins/backend.py
+++ b/src/egretjunction/standins/backend.py
@@ -19,7 +19,12 @@
 DEFAULT_WORK_MS = 50
 MS_PER_SECOND = 1000
 HTTP_UNAVAILABLE = 503
-MAX_BODY_BYTES = 1 << 40
+MIN_INTERVAL_SECONDS = 0.001
+SHOWN_KEPT = 1000
+MAX_BODY_BYTES = 1_000_000_000_000
+
+
+Shown = dict[str, object]
 
 
 class Behaviour(msgspec.Struct, kw_only=True):
@@ -53,11 +58,11 @@
         self.running = 0
         self.feeds = 0
         self.runs_by_request: collections.Counter[str] = collections.Counter()
-        self.slot_seconds = 0.0
+        self.slot_seconds = float(0)
         self.most_running = 0
         self._started = time.monotonic()
-        self._random = random.Random(given.seed)  # noqa: S311
-        self._shown: list[tuple[float, dict[str, object]]] = []
+        self._random = random.Random(given.seed)
+        self._shown: list[tuple[float, Shown]] = []
 
     @property
     def is_cold(self) -> bool:
@@ -75,10 +80,10 @@
             return 'draining'
         return 'cold' if self.is_cold else 'warm'
 
-    def shown(self) -> dict[str, object]:
+    def shown(self) -> Shown:
         """Return health and load as the endpoints show them, late if so set."""
         load = self.behaviour.load_shown
-        news: dict[str, object] = {
+        news: Shown = {
             'state': self.state(),
             'healthy': self.behaviour.says_healthy,
             'load': self.running if load < 0 else load,
@@ -88,7 +93,7 @@
         due = [
             each for each in self._shown if each[0] <= now - self.behaviour.lag_seconds
         ]
-        self._shown = self._shown[-1000:]
+        self._shown = self._shown[-SHOWN_KEPT:]
         return due[-1][1] if due else self._shown[0][1]
 
 
@@ -163,7 +168,10 @@
         else:
             raise web.Finish
 
-    get = put = post = delete = _work
+    get = _work
+    put = _work
+    post = _work
+    delete = _work
 
     def on_finish(self) -> None:
         self._free()
@@ -226,7 +234,7 @@
     def _latest(self) -> int:
         given = self.backend.given
         age = time.time() - given.feed_epoch
-        return int(age / max(given.feed_interval_seconds, 0.001))
+        return int(age / max(given.feed_interval_seconds, MIN_INTERVAL_SECONDS))
 
 
 async def run(given: settings.Backend) -> None:
--- a/src/egretjunction/standins/cluster.py
+++ b/src/egretjunction/standins/cluster.py
@@ -1,7 +1,5 @@
 """Starts the whole system on loopback as separate processes, for demo and tests."""
 
-import datetime
-import ipaddress
 import os
 import pathlib
 import secrets
@@ -14,87 +12,16 @@
 import urllib.error
 import urllib.request
 
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes
-from cryptography.hazmat.primitives import serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509 import oid
-
 from egretjunction import addresses
+from egretjunction.decisions import document
+from egretjunction.standins import certificates
+from egretjunction.standins import sizes
 
 HOST = '127.0.0.1'
-CERTIFICATE_DAYS = 30
 START_SECONDS = 30.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
-
-
-class ServiceSize:
-    """How many backend servers a service has.
-
-    :param name: name of the service.
-    :param team: team that owns its section.
-    :param servers: number of backend servers.
-    :param options: further lines of its configuration section.
-    """
-
-    __slots__ = ('name', 'options', 'servers', 'team')
-
-    def __init__(self, name: str, team: str, servers: int, options: str = '') -> None:
-        self.name = name
-        self.team = team
-        self.servers = servers
-        self.options = options
-
-
-class Size:
-    """The size of a user's system.
-
-    :param user: name of the user.
-    :param domains: failure domains.
-    :param entries: number of entries.
-    :param services: the services.
-    :param delay_seconds: one-way delay between callers and the system.
-    """
-
-    __slots__ = ('delay_seconds', 'domains', 'entries', 'services', 'user')
-
-    def __init__(
-        self,
-        user: str,
-        domains: int,
-        entries: int,
-        services: tuple[ServiceSize, ...],
-        delay_seconds: float,
-    ) -> None:
-        self.user = user
-        self.domains = domains
-        self.entries = entries
-        self.services = services
-        self.delay_seconds = delay_seconds
-
-
-_OPTIONS = 'feed_paths = /feed*\nlarge_paths = /photos*\n'
-SYLFAEN = Size(
-    'sylfaen',
-    4,
-    4,
-    (
-        ServiceSize('bookings', 'booking', 7, _OPTIONS),
-        ServiceSize('surveys', 'photo', 4, _OPTIONS),
-    ),
-    0.001,
-)
-LAKESHORE = Size(
-    'lakeshore',
-    3,
-    3,
-    (
-        ServiceSize('dispatch', 'dispatch', 7, _OPTIONS),
-        ServiceSize('intake', 'intake', 3, _OPTIONS),
-    ),
-    0.003,
-)
+KEY_BYTES = 16
 
 
 class Ports:
@@ -125,7 +52,7 @@
     :param size: what to start.
     """
 
-    def __init__(self, folder: pathlib.Path, size: Size) -> None:
+    def __init__(self, folder: pathlib.Path, size: sizes.Size) -> None:
         self.folder = folder
         self.size = size
         self.ports = Ports()
@@ -142,8 +69,8 @@
         self.feed_epoch = time.time()
         self.authority_file = folder / 'authority.pem'
         self.key_file = folder / 'shared.key'
-        self.key_file.write_text(secrets.token_hex(16), encoding='utf-8')
-        write_certificates(folder, [service.name for service in size.services])
+        self.key_file.write_text(secrets.token_hex(KEY_BYTES), encoding='utf-8')
+        certificates.write(folder, [service.name for service in size.services])
 
     @property
     def platform_url(self) -> str:
@@ -209,7 +136,7 @@
 
     def start_server(
         self,
-        service: ServiceSize,
+        service: sizes.ServiceSize,
         number: int,
         cold_start_seconds: float = 0,
     ) -> str:
@@ -255,7 +182,7 @@
             },
         )
 
-    def document(self) -> str:
+    def document_text(self) -> str:
         """Return a configuration document for this size."""
         sections = []
         for team in sorted({service.team for service in self.size.services}):
@@ -285,14 +212,14 @@
     def get(self, name: str, path: str) -> bytes:
         """Return what an admin endpoint shows."""
         url = f'http://{self.admin_by_name[name]}{path}'
-        with urllib.request.urlopen(url, timeout=2) as response:  # noqa: S310
+        with urllib.request.urlopen(url, timeout=2) as response:
             return response.read()
 
     def post(self, address: addresses.Address, path: str, body: bytes) -> None:
         """Send a command to a stand-in or daemon."""
         url = f'http://{address}{path}'
-        request = urllib.request.Request(url, body, method='POST')  # noqa: S310
-        with urllib.request.urlopen(request, timeout=2):  # noqa: S310
+        request = urllib.request.Request(url, body, method='POST')
+        with urllib.request.urlopen(request, timeout=2):
             return
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
@@ -346,7 +273,7 @@
             '--settings',
             str(path),
         ]
-        self.process_by_name[name] = subprocess.Popen(  # noqa: S603
+        self.process_by_name[name] = subprocess.Popen(
             arguments,
             stdout=log,
             stderr=log,
@@ -366,70 +293,4 @@
 
 def team_key_digest(team: str) -> str:
     """Return the digest of a team's demo key."""
-    digest = hashes.Hash(hashes.SHA256())
-    digest.update(team_key(team).encode())
-    return digest.finalize().hex()
-
-
-def write_certificates(
-    folder: pathlib.Path,
-    names: typing.Sequence[str],
-    days: int = CERTIFICATE_DAYS,
-) -> None:
-    """Write an authority and a certificate for each service.
-
-    :param folder: where the PEM files go.
-    :param names: names of the services.
-    :param days: validity; a negative number makes expired certificates.
-    """
-    authority_key = ec.generate_private_key(ec.SECP256R1())
-    authority_name = _name('egretjunction demo authority')
-    authority = (
-        _builder(authority_name, authority_name, authority_key, CERTIFICATE_DAYS)
-        .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
-        .sign(authority_key, hashes.SHA256())
-    )
-    _write_pem(folder / 'authority.pem', authority)
-    for name in names:
-        key = ec.generate_private_key(ec.SECP256R1())
-        alternatives = [x509.DNSName(name), x509.IPAddress(ipaddress.ip_address(HOST))]
-        certificate = (
-            _builder(_name(name), authority_name, key, days)
-            .add_extension(x509.SubjectAlternativeName(alternatives), critical=False)
-            .sign(authority_key, hashes.SHA256())
-        )
-        _write_pem(folder / f'{name}.pem', certificate)
-        (folder / f'{name}.key').write_bytes(
-            key.private_bytes(
-                serialization.Encoding.PEM,
-                serialization.PrivateFormat.PKCS8,
-                serialization.NoEncryption(),
-            ),
-        )
-
-
-def _name(common_name: str) -> x509.Name:
-    return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, common_name)])
-
-
-def _builder(
-    subject: x509.Name,
-    issuer: x509.Name,
-    key: ec.EllipticCurvePrivateKey,
-    days: int,
-) -> x509.CertificateBuilder:
-    now = datetime.datetime.now(datetime.UTC)
-    begin = now - datetime.timedelta(days=CERTIFICATE_DAYS * 2)
-    return (
-        x509.CertificateBuilder()
-        .subject_name(subject)
-        .issuer_name(issuer)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(begin)
-        .not_valid_after(now + datetime.timedelta(days=days))
-    )
-
-
-def _write_pem(path: pathlib.Path, certificate: x509.Certificate) -> None:
-    path.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    return document.digest(team_key(team))
--- a/src/egretjunction/standins/load.py
+++ b/src/egretjunction/standins/customers.py
@@ -20,7 +20,8 @@
 REQUEST_DEADLINE_SECONDS = 15.0
 MAX_REQUESTS_PER_FLOW = 3
 THINK_SECONDS = 0.2
-SEED_RANGE = 1 << 30
+SEED_RANGE = 1_000_000_000
+ID_BITS = 128
 
 
 class Kind(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,7 +95,7 @@
     ) -> None:
         self._address_by_service = address_by_service
         self._authority_file = authority_file
-        self._random = random.Random(seed)  # noqa: S311
+        self._random = random.Random(seed)
         self._started = time.monotonic()
         self._sessions: set[asyncio.Task[None]] = set()
         self.samples: list[Sample] = []
@@ -160,7 +161,7 @@
         await customer.close()
 
     async def _request(self, customer: caller.Caller, kind: Kind) -> None:
-        request_id = uuid.UUID(int=self._random.getrandbits(128)).hex
+        request_id = uuid.UUID(int=self._random.getrandbits(ID_BITS)).hex
         body = self._random.randbytes(kind.body_bytes)
         at = self.elapsed
         outcome = await customer.request(
@@ -203,13 +204,16 @@
     except ValueError:
         return 'answer was cut'
     sample.server = answer['server']
-    if not sample.server.startswith(f'{sample.service}-'):
-        return f'misdirected to {sample.server}'
-    if answer['request_id'] != sample.request_id:
-        return 'answer of another request'
-    if answer['sha256'] != hashlib.sha256(body).hexdigest():
-        return 'body was not received whole'
-    return ''
+    checks = {
+        f'misdirected to {sample.server}': sample.server.startswith(
+            f'{sample.service}-',
+        ),
+        'answer of another request': answer['request_id'] == sample.request_id,
+        'body was not received whole': (
+            answer['sha256'] == hashlib.sha256(body).hexdigest()
+        ),
+    }
+    return ', '.join(reason for reason, is_kept in checks.items() if not is_kept)
 
 
 class Totals(msgspec.Struct, kw_only=True):
@@ -230,13 +234,14 @@
     @property
     def is_clean(self) -> bool:
         """Tell whether every promise was kept."""
-        return not (
-            self.broken_flows
-            or self.misdirected
-            or self.double_runs
-            or self.false_not_run
-            or self.broken_feeds
+        broken = (
+            self.broken_flows,
+            self.misdirected,
+            self.double_runs,
+            self.false_not_run,
+            self.broken_feeds,
         )
+        return not any(broken)
 
 
 def total(
--- a/src/egretjunction/standins/fabric.py
+++ b/src/egretjunction/standins/fabric.py
@@ -38,7 +38,7 @@
     """
 
     def __init__(self, given: settings.Fabric) -> None:
-        self._random = random.Random(given.seed)  # noqa: S311
+        self._random = random.Random(given.seed)
         self.conditions = Conditions(
             entries=[str(entry) for entry in given.entries],
             loss=given.loss,
@@ -59,7 +59,7 @@
         self._entries = [addresses.parse(entry) for entry in conditions.entries]
 
     def _listen(self, service: addresses.Address) -> _udp.DatagramSocket:
-        def receive(payload: bytes, caller: tuple[str, int]) -> None:  # noqa: WPS430
+        def receive(payload: bytes, caller: tuple[str, int]) -> None:
             self._on_caller(service, payload, caller)
 
         return _udp.DatagramSocket(service, receive)
--- a/src/egretjunction/standins/platform.py
+++ b/src/egretjunction/standins/platform.py
@@ -56,6 +56,11 @@
         self.before: _Stored | None = None
 
 
+def revision_of(stored: _Stored | None) -> int:
+    """Return the revision of a key, 0 when there is none."""
+    return 0 if stored is None else stored.revision
+
+
 class Store:
     """Keys, leases and counts of calls.
 
@@ -70,7 +75,7 @@
         self._expiry_by_lease: dict[int, tuple[float, float]] = {}
         self._last_lease = 0
         self._last_revision = 0
-        self._window_start = 0.0
+        self._window_start = float(0)
         self._in_window: collections.Counter[str] = collections.Counter()
         self.changed = asyncio.Event()
 
@@ -98,7 +103,7 @@
     def put(self, key: str, body: _Put) -> int | None:
         """Write a key if its revision matches; return None when it does not."""
         stored = self.stored_by_key.get(key)
-        if body.if_revision != (stored.revision if stored else 0):
+        if body.if_revision != revision_of(stored):
             return None
         self._last_revision += 1
         created = _Stored(body.value, self._last_revision, body.lease)
@@ -215,7 +220,7 @@
         deadline = time.monotonic() + float(self.get_argument('wait_seconds', '0'))
         while time.monotonic() < deadline and not self.store.faults.is_down:
             stored = self.store.read(key)
-            if (stored.revision if stored else 0) != revision:
+            if revision_of(stored) != revision:
                 return
             changed = self.store.changed
             try:
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in a folder that mirrors the package."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,82 @@
+"""Builds the records that several tests need."""
+
+from egretjunction import addresses
+from egretjunction.decisions import configuration
+from egretjunction.decisions import document
+from egretjunction.decisions import membership
+
+KEY = b'0123456789abcdef'
+KEY_DIGEST = 'a' * 64
+SERVICE_ADDRESS = addresses.Address('127.0.0.1', 7001)
+DOCUMENT = f"""[team booking]
+key_sha256 = {KEY_DIGEST}
+
+[service bookings]
+team = booking
+address = 127.0.0.1:7001
+backend_servers = bookings-*
+feed_paths = /feed*
+large_paths = /photos*
+"""
+
+
+def address(number: int) -> addresses.Address:
+    """Return one of many distinct addresses."""
+    return addresses.Address('127.0.0.1', 20_000 + number)
+
+
+def member(
+    name: str,
+    number: int = 1,
+    *,
+    kind: membership.Kind = membership.Kind.AGENT,
+    state: membership.State = membership.State.SERVING,
+    incarnation: int = 1,
+    sequence: int = 0,
+    fitness: int = 100,
+    domain: str = 'domain-1',
+    service: str = 'bookings',
+) -> membership.Member:
+    """Return a membership record."""
+    return membership.Member(
+        name=name,
+        kind=kind,
+        service='' if kind is membership.Kind.ENTRY else service,
+        domain=domain,
+        address=address(number),
+        control=address(10_000 + number),
+        incarnation=incarnation,
+        sequence=sequence,
+        state=state,
+        fitness=fitness,
+    )
+
+
+def entry(name: str, number: int, domain: str = 'domain-1') -> membership.Member:
+    """Return the record of an entry."""
+    return member(name, number, kind=membership.Kind.ENTRY, domain=domain)
+
+
+def change(
+    generation: int,
+    sections: dict[str, str | None] | None = None,
+    change_id: str = '',
+) -> configuration.Change:
+    """Return a change record; by default it sets up the service ``bookings``."""
+    given = document.split(DOCUMENT) if sections is None else sections
+    return configuration.Change(
+        generation=generation,
+        change_id=change_id or f'change-{generation}',
+        who='tester',
+        team='booking',
+        when='2026-01-01T00:00:00.000+00:00',
+        note='',
+        sections=given,
+    )
+
+
+def in_force() -> configuration.InForce:
+    """Return a configuration with one service."""
+    followed = configuration.InForce()
+    followed.follow([change(1)])
+    return followed
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules in this folder of the package."""
