Announcements, digests and changes cost the same at any size of the system

Three entries of each domain watch the platform, so that 1,200 entries do not read the head in one second.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,7 +15,6 @@
 import msgspec
 import rich.console
 import rich.table
-
 from aioquic.quic import connection as quic
 
 from bench import fitting
@@ -109,12 +108,14 @@
         memory.append(tracemalloc.get_traced_memory()[0])
         tracemalloc.stop()
         agent = control.view.members_in([membership.bucket_of(_agent_name(1))])[0]
+        first = messages.Announce(messages.to_record(agent), 0, 0)
+        roster = control.receive(first, 1)[0].message.roster
         sealed = messages.encode(
             KEY,
-            messages.Announce(messages.to_record(agent), 0),
+            messages.Announce(messages.to_record(agent), 0, roster),
         )
 
-        def handle_announce(sealed=sealed, control=control):  # noqa: ANN001, ANN202
+        def handle_announce(sealed=sealed, control=control):
             found = control.receive(messages.decode(KEY, sealed), 1)
             return [messages.encode(KEY, each.message) for each in found]
 
@@ -122,8 +123,8 @@
         found = control.receive(messages.decode(KEY, sealed), 1)
         welcome_bytes.append(float(_bytes_of(found[0])))
 
-        def send_digest(control=control):  # noqa: ANN001, ANN202
-            control._digest_at = float('-inf')  # noqa: SLF001
+        def send_digest(control=control):
+            control._digest_at = float('-inf')
             found = control.tick(1)
             return [
                 messages.encode(KEY, each.message)
@@ -134,7 +135,7 @@
         digest.append(_seconds_each(send_digest, 20) * MICROSECONDS)
         sequence = iter(range(10, 10_000_000))
 
-        def merge_delta(control=control, agent=agent, sequence=sequence):  # noqa: ANN001, ANN202
+        def merge_delta(control=control, agent=agent, sequence=sequence):
             record = messages.to_record(agent.changed(sequence=next(sequence)))
             sealed = messages.encode(KEY, messages.Deltas((record,)))
             return control.receive(messages.decode(KEY, sealed), 1)
@@ -184,10 +185,10 @@
         section = followed.document.sections['service service-1']
         generations = iter(range(2, 1_000_000))
 
-        def apply_change(  # noqa: ANN202
-            followed=followed,  # noqa: ANN001
-            section=section,  # noqa: ANN001
-            generations=generations,  # noqa: ANN001
+        def apply_change(
+            followed=followed,
+            section=section,
+            generations=generations,
         ):
             number = next(generations)
             changed = section.replace('limit = 16', f'limit = {number}')
@@ -243,7 +244,7 @@
         minted = ownership.mint(KEY, 'service-0', owner, b'abc')
         entry = _address(1)
 
-        def forward(payload, router=router, destination=destination, entry=entry):  # noqa: ANN001, ANN202
+        def forward(payload, router=router, destination=destination, entry=entry):
             sent = packets.Envelope(_address(9), destination, payload)
             received = packets.decode(packets.encode(sent))
             router.service_at(received.source)
@@ -288,8 +289,8 @@
 def _close_flows(held: list[_flows.Flow]) -> None:
     for flow in held:
         flow.close()
-        if flow._timer is not None:  # noqa: SLF001
-            flow._timer.cancel()  # noqa: SLF001
+        if flow._timer is not None:
+            flow._timer.cancel()
     held.clear()
 
 
@@ -360,22 +361,24 @@
     sizes, spent = [], []
     for entries in counts:
         welcome = messages.Welcome(
-            messages.to_record(me),
+            record.control,
             0,
+            5,
+            None,
             (record, record),
             (record,) * entries,
         )
         sealed = messages.encode(KEY, welcome)
         sizes.append(float(len(sealed)))
 
-        def exchange(sealed=sealed):  # noqa: ANN001, ANN202
-            control._announced_at = float('-inf')  # noqa: SLF001
+        def exchange(sealed=sealed):
+            control._announced_at = float('-inf')
             sent = [messages.encode(KEY, each.message) for each in control.tick(1)]
             control.receive(messages.decode(KEY, sealed), 1)
             return sent
 
         spent.append(_seconds_each(exchange) * MICROSECONDS)
-    announce = messages.Announce(messages.to_record(me), 1)
+    announce = messages.Announce(messages.to_record(me), 1, 2**31)
     length = float(len(messages.encode(KEY, announce)))
     return {
         'agent_announce_us': fitting.fit('us per announcement', counts, spent),
@@ -398,13 +401,13 @@
     record = messages.to_record(_member(1, membership.Kind.ENTRY, ''))
     for domains in counts:
         ages = {f'domain-{number}': 3 for number in range(domains)}
-        digest = messages.Digest(record, 2**63, 100_000, ages)
+        digest = messages.Digest(record, 2**63, 14_200, 100_000, ages)
         digests.append(float(len(messages.encode(KEY, digest))))
     records = []
     for count in counts:
         repair = messages.Deltas((record,) * count)
         records.append(float(len(messages.encode(KEY, repair))))
-    buckets = messages.Buckets(record, bytes(4 * membership.BUCKET_COUNT))
+    buckets = messages.Buckets(record, bytes(4 * membership.BUCKET_COUNT), False)
     length = float(len(messages.encode(KEY, buckets)))
     return {
         'digest_bytes': fitting.fit('bytes per failure domain', counts, digests),
@@ -444,7 +447,9 @@
     lines.update(measure_messages())
     lines.update(measure_metrics())
     lines.update(asyncio.run(measure_flows()))
-    table = rich.table.Table('figure', 'slope', 'error', 'at size 0', 'unit', 'measured')
+    table = rich.table.Table(
+        'figure', 'slope', 'error', 'at size 0', 'unit', 'measured'
+    )
     for name, line in lines.items():
         measured = ', '.join(f'{value:.4g}' for value in line.values)
         table.add_row(
--- a/src/egretjunction/decisions/agent_control.py
+++ b/src/egretjunction/decisions/agent_control.py
@@ -10,7 +10,7 @@
 from egretjunction.decisions import membership
 from egretjunction.wire import messages
 
-HOME_SILENT_SECONDS = 5.0
+HOME_SILENT_SECONDS = 8.0
 
 
 class AgentControl:
@@ -25,6 +25,7 @@
         '_entries',
         '_heard_at_by_home',
         '_homes',
+        '_roster',
         '_seeds',
         'in_force',
         'me',
@@ -42,6 +43,7 @@
         self._heard_at_by_home: dict[addresses.Address, float] = {}
         self._entries: list[addresses.Address] = []
         self._announced_at = float('-inf')
+        self._roster = 0
 
     @property
     def service(self) -> document.Service | None:
@@ -107,7 +109,8 @@
     def _announce(self, now: float) -> list[effects.Effect]:
         self._announced_at = now
         record = messages.to_record(self.me)
-        message = messages.Announce(record, self.in_force.generation)
+        generation = self.in_force.generation
+        message = messages.Announce(record, generation, self._roster)
         return [effects.SendTo(home, message) for home in self.homes(now)]
 
     def _is_silent(self, home: addresses.Address, now: float) -> bool:
@@ -119,16 +122,14 @@
         message: messages.Welcome,
         now: float,
     ) -> list[effects.Effect]:
-        homes = [messages.to_member(each) for each in message.homes]
-        entries = [messages.to_member(each) for each in message.entries]
-        self._homes = [home.control for home in homes]
-        self._entries = sorted({each.address for each in (*homes, *entries)})
-        for home in homes:
-            self._heard_at_by_home[home.control] = now
+        self._heard_at_by_home[addresses.unpack(message.sender)] = now
+        if message.homes:
+            self._take_roster(message, now)
         found: list[effects.Effect] = []
-        known = messages.to_member(message.known)
-        if known.version > self.me.version:
-            found.extend(self._refute(known, now))
+        if message.known is not None:
+            known = messages.to_member(message.known)
+            if known.version > self.me.version:
+                found.extend(self._refute(known, now))
         if message.generation > self.in_force.generation:
             wanted = messages.ConfigurationWanted(
                 messages.to_record(self.me),
@@ -138,6 +139,16 @@
             found.append(effects.Reply(wanted))
         return found
 
+    def _take_roster(self, message: messages.Welcome, now: float) -> None:
+        """Learn where to announce and which entries can carry answers."""
+        homes = [messages.to_member(each) for each in message.homes]
+        entries = [messages.to_member(each) for each in message.entries]
+        self._roster = message.roster
+        self._homes = [home.control for home in homes]
+        self._entries = sorted({each.address for each in (*homes, *entries)})
+        for home in self._homes:
+            self._heard_at_by_home.setdefault(home, now)
+
     def _refute(
         self,
         known: membership.Member,
--- a/src/egretjunction/decisions/configuration.py
+++ b/src/egretjunction/decisions/configuration.py
@@ -12,7 +12,7 @@
 from egretjunction import errors
 from egretjunction.decisions import document
 
-MAX_RECENT_BYTES = 48_000
+MAX_RECENT_BYTES = 16_000
 MAX_RECENT_CHANGES = 64
 
 
@@ -70,20 +70,6 @@
     return '\n'.join(lines)
 
 
-def patch(
-    sections: dict[str, str],
-    changed: dict[str, str | None],
-) -> dict[str, str]:
-    """Return sections with some of them replaced, added or removed."""
-    patched = dict(sections)
-    for name, text in changed.items():
-        if text is None:
-            patched.pop(name, None)
-        else:
-            patched[name] = text
-    return patched
-
-
 def merge(
     base: dict[str, str],
     ours: dict[str, str],
@@ -110,7 +96,7 @@
     ]
     if conflicts:
         raise ExceptionGroup('the same sections were changed twice', conflicts)
-    return patch(theirs, our_change)
+    return document.patch(theirs, our_change)
 
 
 def advance(
@@ -169,17 +155,17 @@
         :return: whether something was applied.
         """
         wanted = self.generation + 1
-        sections = self.document.sections
+        followed = self.document
         applied: list[Change] = []
         for change in sorted(changes, key=lambda each: each.generation):
             if change.generation == wanted and change.sections:
-                sections = patch(sections, change.sections)
+                source = f'generation {wanted}'
+                followed = document.patched(followed, change.sections, source)
                 applied.append(change)
                 wanted += 1
         if not applied:
             return False
-        text = document.join(sections)
-        self._set(applied[-1], document.parse(text, f'generation {wanted - 1}'))
+        self._set(applied[-1], followed)
         self._remember(applied)
         return True
 
--- a/src/egretjunction/decisions/document.py
+++ b/src/egretjunction/decisions/document.py
@@ -160,6 +160,17 @@
     reader = _ini.SectionReader(text, source)
     services: dict[str, Service] = {}
     teams: dict[str, Team] = {}
+    _read_sections(reader, services, teams)
+    _check_references(reader, services, teams)
+    reader.finish()
+    return Document(split(text), services, teams)
+
+
+def _read_sections(
+    reader: _ini.SectionReader,
+    services: dict[str, Service],
+    teams: dict[str, Team],
+) -> None:
     for section in reader.parser.sections():
         if section.startswith(SERVICE_PREFIX):
             name = section.removeprefix(SERVICE_PREFIX)
@@ -174,9 +185,46 @@
         else:
             allowed = '"service NAME" or "team NAME"'
             reader.report(section, '*', section, allowed)
-    _check_references(reader, services, teams)
+
+
+def patch(
+    sections: dict[str, str],
+    changed: dict[str, str | None],
+) -> dict[str, str]:
+    """Return sections with some of them replaced, added or removed."""
+    patched = dict(sections)
+    for name, text in changed.items():
+        if text is None:
+            patched.pop(name, None)
+        else:
+            patched[name] = text
+    return patched
+
+
+def patched(
+    before: Document,
+    changed: typing.Mapping[str, str | None],
+    source: str,
+) -> Document:
+    """Return a document with some sections replaced, reading only these.
+
+    References between sections were checked when the change was accepted.
+
+    :param before: the document before the change.
+    :param changed: new text by section, None for a removed one.
+    :param source: name for messages.
+    :raises errors.SettingsErrors: with every error in the changed sections.
+    """
+    services = dict(before.services)
+    teams = dict(before.teams)
+    for section in changed:
+        services.pop(section.removeprefix(SERVICE_PREFIX), None)
+        teams.pop(section.removeprefix(TEAM_PREFIX), None)
+    kept = {name: text for name, text in changed.items() if text is not None}
+    reader = _ini.SectionReader(join(kept), source)
+    _read_sections(reader, services, teams)
     reader.finish()
-    return Document(split(text), services, teams)
+    return Document(patch(before.sections, changed), services, teams)
 
 
 def _read_named(
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from egretjunction import addresses
 from egretjunction import errors
+from egretjunction.decisions import budgets
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import domains
@@ -20,6 +22,11 @@
 RECORDS_PER_MESSAGE = 8
 REPAIR_BUCKETS = 8
 ENTRIES_IN_WELCOME = 4
+OWN_ROSTER = 0
+REPAIR_BYTES_PER_SECOND = 500
+REPAIR_BURST_BYTES = 20_000
+JOIN_BUCKETS = 128
+REPRESENTATIVES_PER_DOMAIN = 3
 
 
 class EntryControl:
@@ -31,6 +38,7 @@
     __slots__ = (
         '_announced_at',
         '_digest_at',
+        '_repair_budget',
         '_rumors',
         '_seeds',
         '_ticked_at',
@@ -49,6 +57,10 @@
         self.in_force = configuration.InForce()
         self._seeds = [seed for seed in seeds if seed != me.control]
         self._rumors = membership.Rumors()
+        self._repair_budget = budgets.ByteBudget(
+            REPAIR_BYTES_PER_SECOND,
+            REPAIR_BURST_BYTES,
+        )
         self._announced_at = float('-inf')
         self._digest_at = float('-inf')
         self._ticked_at: float | None = None
@@ -128,6 +140,17 @@
         )
         return [log, *self._send_digest(now)]
 
+    @property
+    def is_representative(self) -> bool:
+        """Tell whether this entry calls the platform on behalf of its domain.
+
+        A few entries of each failure domain watch the configuration and stand
+        in the registry; the others learn by gossip and look rarely themselves.
+        """
+        own = [each for each in self.view.entries() if each.domain == self.me.domain]
+        chosen = own[:REPRESENTATIVES_PER_DOMAIN]
+        return any(each.name == self.me.name for each in chosen)
+
     def _record(self) -> messages.Record:
         return messages.to_record(self.me)
 
@@ -146,8 +169,9 @@
 
     def _announce(self, now: float) -> list[effects.Effect]:
         self._announced_at = now
-        message = messages.Announce(self._record(), self.in_force.generation)
-        homes = membership.homes_of(self.me.name, self.view.entries())
+        generation = self.in_force.generation
+        message = messages.Announce(self._record(), generation, OWN_ROSTER)
+        homes = self.view.homes(self.me.name)
         targets = [home.control for home in homes] or self._seeds
         return [effects.SendTo(target, message) for target in targets]
 
@@ -156,6 +180,7 @@
         message = messages.Digest(
             self._record(),
             self.view.root(),
+            len(self.view),
             self.in_force.generation,
             self.domains.ages(now),
         )
@@ -214,27 +239,43 @@
         now: float,
     ) -> list[effects.Effect]:
         found = self._hear(message.record, now)
+        self.duty.heard(message.record.name, now)
+        found.append(effects.Reply(self._welcome(message)))
+        if message.generation > self.in_force.generation:
+            found.append(self._want_configuration())
+        return found
+
+    def _welcome(self, message: messages.Announce) -> messages.Welcome:
+        """Answer an announcement, with lists only when the member's are old."""
         name = message.record.name
-        self.duty.heard(name, now)
+        known = self.view.get(name)
+        newer = None
+        if (
+            known is not None
+            and known.version > messages.to_member(message.record).version
+        ):
+            newer = messages.to_record(known)
+        homes = self.view.homes(name)
+        entries = self._entries_for(name)
+        roster = membership.roster_of([*homes, *entries])
+        if roster == message.roster:
+            homes, entries = [], []
+        return messages.Welcome(
+            addresses.pack(self.me.control),
+            self.in_force.generation,
+            roster,
+            newer,
+            tuple(messages.to_record(home) for home in homes),
+            tuple(messages.to_record(entry) for entry in entries),
+        )
+
+    def _entries_for(self, name: str) -> list[membership.Member]:
+        """Return a few entries, spread differently for each member."""
         entries = self.view.entries()
         step = max(1, len(entries) // ENTRIES_IN_WELCOME)
         start = membership.bucket_of(name) % step
-        told = itertools.islice(entries, start, None, step)
-        welcome = messages.Welcome(
-            messages.to_record(typing.cast('membership.Member', self.view.get(name))),
-            self.in_force.generation,
-            tuple(
-                messages.to_record(home) for home in membership.homes_of(name, entries)
-            ),
-            tuple(
-                messages.to_record(entry)
-                for entry in itertools.islice(told, ENTRIES_IN_WELCOME)
-            ),
-        )
-        found.append(effects.Reply(welcome))
-        if message.generation > self.in_force.generation:
-            found.append(self._want_configuration())
-        return found
+        spread = itertools.islice(entries, start, None, step)
+        return list(itertools.islice(spread, ENTRIES_IN_WELCOME))
 
     def _on_deltas(self, message: messages.Deltas, now: float) -> list[effects.Effect]:
         return self._merge_all(message.records, now)
@@ -247,17 +288,27 @@
         elif message.generation < self.in_force.generation:
             found.append(self._configuration_after(message.generation, ''))
         if message.root != self.view.root():
-            buckets = messages.Buckets(self._record(), self.view.packed_digest())
-            found.append(effects.Reply(buckets))
+            found.extend(self._ask_for_repair(message.members, now))
         return found
 
+    def _ask_for_repair(self, members: int, now: float) -> list[effects.Effect]:
+        """Send the bucket hashes, within the budget unless this entry is new."""
+        is_joining = len(self.view) * 2 < members
+        packed = self.view.packed_digest()
+        if not is_joining and not self._repair_budget.take(len(packed), now):
+            return []
+        return [effects.Reply(messages.Buckets(self._record(), packed, is_joining))]
+
     def _on_buckets(
         self, message: messages.Buckets, now: float
     ) -> list[effects.Effect]:
         found = self._hear(message.sender, now)
-        buckets = self.view.differing(message.hashes)[:REPAIR_BUCKETS]
+        limit = JOIN_BUCKETS if message.is_joining else REPAIR_BUCKETS
+        buckets = self.view.differing(message.hashes)
+        first = membership.bucket_of(message.sender.name)
+        buckets = sorted(buckets, key=lambda each: (each - first) % membership.BUCKET_COUNT)
         if buckets:
-            found.append(self._repair(buckets, wants_answer=True))
+            found.append(self._repair(buckets[:limit], wants_answer=True))
         return found
 
     def _on_repair(self, message: messages.Repair, now: float) -> list[effects.Effect]:
@@ -273,7 +324,7 @@
         *,
         wants_answer: bool,
     ) -> effects.Reply:
-        members = self.view.members_in(buckets[:REPAIR_BUCKETS])
+        members = self.view.members_in(buckets[:JOIN_BUCKETS])
         records = tuple(messages.to_record(member) for member in members)
         repair = messages.Repair(self._record(), tuple(buckets), records, wants_answer)
         return effects.Reply(repair)
--- a/src/egretjunction/decisions/membership.py
+++ b/src/egretjunction/decisions/membership.py
@@ -18,10 +18,10 @@
 HOME_COUNT = 2
 BUCKET_COUNT = 1024
 BUCKET_HASH_BYTES = 4
-ANNOUNCE_SECONDS = 2.0
-GONE_AFTER_SECONDS = 7.0
+ANNOUNCE_SECONDS = 3.0
+GONE_AFTER_SECONDS = 10.0
 FORGET_GONE_SECONDS = 120.0
-DIGEST_SECONDS = 2.0
+DIGEST_SECONDS = 3.0
 RUMOR_SENDS = 3
 FULL_WEIGHT = 100
 
@@ -149,13 +149,22 @@
 class View:
     """All members that one process knows of."""
 
-    __slots__ = ('_agents_by_service', '_buckets', '_by_name', '_gone_at_by_name')
+    __slots__ = (
+        '_agents_by_service',
+        '_buckets',
+        '_by_name',
+        '_entries',
+        '_gone_at_by_name',
+        '_homes_by_name',
+    )
 
     def __init__(self) -> None:
         self._by_name: dict[str, Member] = {}
         self._agents_by_service: dict[str, dict[str, Member]] = {}
         self._gone_at_by_name: dict[str, float] = {}
         self._buckets = [0 for _ in range(BUCKET_COUNT)]
+        self._entries: list[Member] | None = None
+        self._homes_by_name: dict[str, list[Member]] = {}
 
     def __len__(self) -> int:
         """Return the number of records, those of gone members included."""
@@ -196,9 +205,21 @@
 
     def entries(self) -> list[Member]:
         """Return the entries that are not gone, by name."""
-        known = self._agents_by_service.get('', {})
-        live = (member for member in known.values() if member.state is not State.GONE)
-        return sorted(live, key=lambda member: member.name)
+        if self._entries is None:
+            known = self._agents_by_service.get('', {}).values()
+            live = (member for member in known if member.state is not State.GONE)
+            self._entries = sorted(live, key=lambda member: member.name)
+            self._homes_by_name.clear()
+        return self._entries
+
+    def homes(self, name: str) -> list[Member]:
+        """Return the entries that a member announces itself to."""
+        entries = self.entries()
+        homes = self._homes_by_name.get(name)
+        if homes is None:
+            homes = homes_of(name, entries)
+            self._homes_by_name[name] = homes
+        return homes
 
     def root(self) -> int:
         """Return one hash of the whole view."""
@@ -236,6 +257,9 @@
         ]
 
     def _replace(self, known: Member | None, member: Member | None) -> None:
+        changed = member if known is None else known
+        if changed is not None and changed.kind is Kind.ENTRY:
+            self._entries = None
         if known is not None:
             self._by_name.pop(known.name)
             self._agents_by_service[known.service].pop(known.name, None)
@@ -290,8 +314,7 @@
             member = view.get(name)
             if member is None or member.state is State.GONE:
                 continue
-            homes = homes_of(name, view.entries())
-            if any(home.name == own_name for home in homes):
+            if any(home.name == own_name for home in view.homes(name)):
                 gone.append(member.changed(state=State.GONE))
         return gone
 
@@ -331,6 +354,14 @@
     return chosen
 
 
+def roster_of(members: typing.Iterable[Member]) -> int:
+    """Return a hash of names, addresses and incarnations, never 0."""
+    lines = sorted(
+        f'{member.name} {member.address} {member.incarnation}' for member in members
+    )
+    return xxhash.xxh32_intdigest('\n'.join(lines).encode()) or 1
+
+
 class Rumors:
     """Records to send on, each for a fixed number of rounds."""
 
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/entry.py
@@ -29,6 +29,7 @@
 HEAD_KEY = 'config/head'
 ENTRIES_PREFIX = 'entries/'
 LEASE_SECONDS = 60.0
+POLL_SECONDS = 60.0
 RETRY_SECONDS = 1.0
 DRAIN_SECONDS = 3.0
 LOGGED_PER_REASON = 5
@@ -211,8 +212,7 @@
         was_available = True
         while not self._stopped.is_set():
             try:
-                item = await self._platform.watch(HEAD_KEY, self._head_revision)
-                await self._take_head(item)
+                await self._take_head(await self._next_head())
                 was_available = True
             except errors.PlatformUnavailableError as error:
                 if was_available:
@@ -221,6 +221,14 @@
                 self._figures.count('platform_failures')
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _next_head(self) -> platform.Item:
+        """Wait for the next head: watch it as a representative, else look rarely."""
+        is_configured = self._control.in_force.generation > 0
+        if is_configured and not self._control.is_representative:
+            await asyncio.sleep(POLL_SECONDS)
+            return await self._platform.get(HEAD_KEY)
+        return await self._platform.watch(HEAD_KEY, self._head_revision)
+
     async def _take_head(self, item: platform.Item) -> None:
         self._head_revision = item.revision
         if not item.value:
@@ -258,7 +266,8 @@
         lease = 0
         while not self._stopped.is_set():
             try:
-                lease = await self._register_or_renew(lease)
+                if self._control.is_representative:
+                    lease = await self._register_or_renew(lease)
                 await asyncio.sleep(LEASE_SECONDS / 3)
             except (errors.PlatformUnavailableError, errors.ConflictError):
                 self._figures.count('platform_failures')
--- a/src/egretjunction/wire/messages.py
+++ b/src/egretjunction/wire/messages.py
@@ -34,25 +34,31 @@
     """A member tells a home entry about itself.
 
     :param generation: the configuration that the member follows.
+    :param roster: hash of the entries that the member knows, 0 for none.
     """
 
     record: Record
     generation: int
+    roster: int
 
 
 class Welcome(msgspec.Struct, tag='w', array_like=True, frozen=True):
     """A home entry answers an announcement.
 
-    :param known: the newest record that the entry knows of the member.
+    :param sender: control address of the entry.
     :param generation: the configuration in force at the entry.
-    :param homes: the entries that the member should announce to.
-    :param entries: some entries that can carry answers to callers.
+    :param roster: hash of the lists below.
+    :param known: a newer record of the member than the announced one, if any.
+    :param homes: entries to announce to; empty while the hashes agree.
+    :param entries: some entries that can carry answers; empty likewise.
     """
 
-    known: Record
+    sender: bytes
     generation: int
-    homes: tuple[Record, ...]
-    entries: tuple[Record, ...]
+    roster: int
+    known: Record | None = None
+    homes: tuple[Record, ...] = ()
+    entries: tuple[Record, ...] = ()
 
 
 class Deltas(msgspec.Struct, tag='d', array_like=True, frozen=True):
@@ -64,11 +70,13 @@
 class Digest(msgspec.Struct, tag='g', array_like=True, frozen=True):
     """One hash of the sender's view, with its configuration generation.
 
+    :param members: number of records in the view.
     :param ages: seconds since something was heard from each failure domain.
     """
 
     sender: Record
     root: int
+    members: int
     generation: int
     ages: dict[str, int]
 
@@ -77,10 +85,12 @@
     """The hashes of all buckets, after two roots differed.
 
     :param hashes: four bytes a bucket.
+    :param is_joining: whether the sender has just started and knows little.
     """
 
     sender: Record
     hashes: bytes
+    is_joining: bool
 
 
 class Repair(msgspec.Struct, tag='r', array_like=True, frozen=True):
--- a/tests/decisions/test_dispatch.py
+++ b/tests/decisions/test_dispatch.py
@@ -58,7 +58,9 @@
     queue.offer(_request('small'), 0)
     queue.finish('small', 0.05)
     assert _keys(queue.offer(_request('l1', dispatch.Size.LARGE), 1), dispatch.Start)
-    assert not _keys(queue.offer(_request('l2', dispatch.Size.LARGE), 1), dispatch.Start)
+    assert not _keys(
+        queue.offer(_request('l2', dispatch.Size.LARGE), 1), dispatch.Start
+    )
     assert _keys(queue.offer(_request('next'), 1.5), dispatch.Start) == ['next']
 
 
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -58,7 +58,9 @@
     assert fitness.weight(100) == health.CLAIM_SHARE
 
 
-@pytest.mark.parametrize(('unfit', 'servers', 'left_out'), [(1, 7, 1), (7, 7, 3), (1, 1, 0)])
+@pytest.mark.parametrize(
+    ('unfit', 'servers', 'left_out'), [(1, 7, 1), (7, 7, 3), (1, 1, 0)]
+)
 def test_never_more_than_half_are_left_out(unfit, servers, left_out):
     members = [
         builders.member(f's-{number}', number, fitness=0 if number < unfit else 100)
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -144,7 +144,7 @@
 
 
 def test_shuffled_deltas_with_losses_still_converge_by_repair():
-    order = random.Random(5)  # noqa: S311
+    order = random.Random(5)
     left, right = membership.View(), membership.View()
     for number in range(300):
         record = builders.member(f's-{number}', number, sequence=order.randrange(5))
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -13,7 +13,7 @@
 from tests import builders
 
 RECORD = messages.to_record(builders.member('bookings-1'))
-ANNOUNCE = messages.Announce(RECORD, 7)
+ANNOUNCE = messages.Announce(RECORD, 7, 0)
 
 
 def test_message_survives_a_round_trip():
@@ -50,6 +50,6 @@
 def test_no_bytes_escape_as_another_error(body):
     with contextlib.suppress(errors.PacketError):
         messages.decode(builders.KEY, body)
-    sealed = messages._seal(builders.KEY, body) + body  # noqa: SLF001
+    sealed = messages._seal(builders.KEY, body) + body
     with contextlib.suppress(errors.PacketError):
         messages.decode(builders.KEY, sealed)
