Entries that join know their members first; life cycles may end

Found in the logs of a demo run: a replaced entry never stopped, because the interpreter of a finished state chart has no active state and asking for it failed; a new entry dropped first packets for 0.4 s as it knew no agent yet; and a feed that its caller ended was counted as a failed backend server. The life cycle keeps its last state; a new entry asks for whole buckets and serves once a peer knows no more than it does; the caller's end is told apart.

--- a/src/egretjunction/_requests.py
+++ b/src/egretjunction/_requests.py
@@ -199,7 +199,14 @@
                 headers[_headers.VERDICT] = verdicts.Verdict.RAN.value
             await stream.send_head(_headers.to_http3(status, headers))
 
-        await request.exchange.run(request.head, stream.read, on_head, stream.send_data)
+        async def on_data(part: bytes) -> None:
+            try:
+                await stream.send_data(part)
+            except _flows.RequestEndedError:
+                stream.abandon()
+                request.exchange.cancel()
+
+        await request.exchange.run(request.head, stream.read, on_head, on_data)
         await stream.send_data(b'', is_last=True)
         self._health.succeeded(self._clock())
         self._figures.count('requests_answered')
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -27,6 +27,7 @@
 REPAIR_BURST_BYTES = 20_000
 JOIN_BUCKETS = 128
 REPRESENTATIVES_PER_DOMAIN = 3
+CATCH_UP_SECONDS = 10.0
 
 
 class EntryControl:
@@ -37,7 +38,9 @@
 
     __slots__ = (
         '_announced_at',
+        '_began_at',
         '_digest_at',
+        '_has_met_equal',
         '_repair_budget',
         '_rumors',
         '_seeds',
@@ -64,6 +67,8 @@
         self._announced_at = float('-inf')
         self._digest_at = float('-inf')
         self._ticked_at: float | None = None
+        self._began_at: float | None = None
+        self._has_met_equal = False
         self.view.merge(me, 0)
 
     def change_state(self, state: membership.State, now: float) -> list[effects.Effect]:
@@ -75,6 +80,9 @@
         """Do what is due; to be called about every ``TICK_SECONDS``."""
         paused = self._ticked_at is not None and now - self._ticked_at > PAUSE_SECONDS
         self._ticked_at = now
+        if self._began_at is None:
+            self._began_at = now
+            self._has_met_equal = not self._seeds
         found: list[effects.Effect] = []
         if paused:
             self.duty.resumed(now)
@@ -140,6 +148,17 @@
         )
         return [log, *self._send_digest(now)]
 
+    def is_caught_up(self, now: float) -> bool:
+        """Tell whether this entry knows enough to place new flows.
+
+        That is so once its configuration is in force and a peer has shown that
+        it knows no more members, or no peer has answered for a while.
+        """
+        if not self.in_force.generation or self._began_at is None:
+            return False
+        waited = now - self._began_at
+        return self._has_met_equal or waited >= CATCH_UP_SECONDS
+
     @property
     def is_representative(self) -> bool:
         """Tell whether this entry calls the platform on behalf of its domain.
@@ -177,14 +196,17 @@
 
     def _send_digest(self, now: float) -> list[effects.Effect]:
         self._digest_at = now
-        message = messages.Digest(
+        message = self._digest(now)
+        return [effects.SendTo(peer, message) for peer in self._peers()]
+
+    def _digest(self, now: float) -> messages.Digest:
+        return messages.Digest(
             self._record(),
             self.view.root(),
             len(self.view),
             self.in_force.generation,
             self.domains.ages(now),
         )
-        return [effects.SendTo(peer, message) for peer in self._peers()]
 
     def _spread(self, now: float) -> list[effects.Effect]:
         names = self._rumors.take(RECORDS_PER_MESSAGE)
@@ -287,10 +309,18 @@
             found.append(self._want_configuration())
         elif message.generation < self.in_force.generation:
             found.append(self._configuration_after(message.generation, ''))
+        if message.root == self.view.root() or message.members <= len(self.view):
+            self._has_met_equal = True
         if message.root != self.view.root():
-            found.extend(self._ask_for_repair(message.members, now))
+            found.extend(self._on_other_root(message.members, now))
         return found
 
+    def _on_other_root(self, members: int, now: float) -> list[effects.Effect]:
+        """Repair the difference; a peer that knows little is told to ask itself."""
+        if members * 2 < len(self.view):
+            return [effects.Reply(self._digest(now))]
+        return self._ask_for_repair(members, now)
+
     def _ask_for_repair(self, members: int, now: float) -> list[effects.Effect]:
         """Send the bucket hashes, within the budget unless this entry is new."""
         is_joining = len(self.view) * 2 < members
@@ -306,7 +336,9 @@
         limit = JOIN_BUCKETS if message.is_joining else REPAIR_BUCKETS
         buckets = self.view.differing(message.hashes)
         first = membership.bucket_of(message.sender.name)
-        buckets = sorted(buckets, key=lambda each: (each - first) % membership.BUCKET_COUNT)
+        buckets = sorted(
+            buckets, key=lambda each: (each - first) % membership.BUCKET_COUNT
+        )
         if buckets:
             found.append(self._repair(buckets[:limit], wants_answer=True))
         return found
@@ -316,6 +348,7 @@
         found.extend(self._merge_all(message.records, now))
         if message.wants_answer:
             found.append(self._repair(message.buckets, wants_answer=False))
+            found.append(effects.Reply(self._digest(now)))
         return found
 
     def _repair(
--- a/src/egretjunction/demo.py
+++ b/src/egretjunction/demo.py
@@ -141,6 +141,7 @@
         new = f'entry-{system.size.entries + 1}'
         system.start_entry(new, system.domain(0))
         await asyncio.to_thread(system.wait_for, [new])
+        await asyncio.to_thread(system.wait_for_state, new, 'serving')
         self._note(crowd, f'{new} joins')
         await asyncio.sleep(FABRIC_NOTICE_SECONDS)
         old = 'entry-1'
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/entry.py
@@ -196,16 +196,18 @@
 
     def _on_message(self, message: object) -> list:
         found = self._control.receive(message, self._clock())
-        self._note_configured()
+        self._note_progress()
         return found
 
     def _tick(self) -> None:
         self._links.apply(self._control.tick(self._clock()))
         self._links.close_idle()
+        self._note_progress()
 
-    def _note_configured(self) -> None:
-        if self._control.in_force.generation:
-            self._lifecycle.send('configured')
+    def _note_progress(self) -> None:
+        is_learning = self._lifecycle.state == 'learning'
+        if is_learning and self._control.is_caught_up(self._clock()):
+            self._lifecycle.send('caught_up')
 
     async def _follow_head(self) -> None:
         """Watch the head of the configuration; outages only delay changes."""
@@ -250,7 +252,7 @@
         self._links.apply(self._control.adopt(head.recent, self._clock()))
         if self._control.in_force.generation < head.generation:
             await self._take_snapshot(head)
-        self._note_configured()
+        self._note_progress()
 
     async def _take_snapshot(self, head: configuration.Head) -> None:
         item = await self._platform.get(head.snapshot_key)
--- a/src/egretjunction/lifecycles.py
+++ b/src/egretjunction/lifecycles.py
@@ -14,7 +14,7 @@
     :param chart: file name without its suffix, such as ``agent``.
     """
 
-    __slots__ = ('_interpreter',)
+    __slots__ = ('_interpreter', '_state')
 
     def __init__(self, chart: str) -> None:
         folder = importlib.resources.files('egretjunction') / 'charts'
@@ -22,11 +22,12 @@
         statechart = sismic.io.import_from_yaml(text=text)
         self._interpreter = sismic.interpreter.Interpreter(statechart)
         self._interpreter.execute()
+        self._state = self._interpreter.configuration[-1]
 
     @property
     def state(self) -> str:
-        """Return the name of the innermost active state."""
-        return self._interpreter.configuration[-1]
+        """Return the name of the innermost state, the last one once it is final."""
+        return self._state
 
     def send(self, event: str) -> bool:
         """Handle an event; one without a transition in this state is ignored.
@@ -34,9 +35,12 @@
         :param event: name of the event.
         :return: whether the state has changed.
         """
-        before = self.state
-        self._interpreter.queue(event).execute()
-        if self.state == before:
+        before = self._state
+        if self._interpreter.final:
+            return False
+        for step in self._interpreter.queue(event).execute():
+            self._state = step.entered_states[-1] if step.entered_states else before
+        if self._state == before:
             return False
         logs.get().info(
             'state_changed',
--- a/src/egretjunction/standins/cluster.py
+++ b/src/egretjunction/standins/cluster.py
@@ -12,6 +12,8 @@
 import urllib.error
 import urllib.request
 
+import msgspec
+
 from egretjunction import addresses
 from egretjunction.decisions import document
 from egretjunction.standins import certificates
@@ -209,6 +211,17 @@
                     raise TimeoutError(f'{name} did not start; see its log')
                 time.sleep(POLL_SECONDS)
 
+    def wait_for_state(self, name: str, state: str) -> None:
+        """Wait until a daemon's life cycle has reached a state.
+
+        :raises TimeoutError: when it does not.
+        """
+        deadline = time.monotonic() + START_SECONDS
+        while msgspec.json.decode(self.get(name, '/status'))['state'] != state:
+            if time.monotonic() > deadline:
+                raise TimeoutError(f'{name} is not {state}; see its log')
+            time.sleep(POLL_SECONDS)
+
     def get(self, name: str, path: str) -> bytes:
         """Return what an admin endpoint shows."""
         url = f'http://{self.admin_by_name[name]}{path}'
