--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -112,7 +112,7 @@
         roster = control.receive(first, 1)[0].message.roster
         sealed = messages.encode(
             KEY,
-            messages.Announce(messages.to_record(agent), 0, roster),
+            messages.Alive(agent.name, agent.incarnation, agent.sequence, 0, roster),
         )
 
         def handle_announce(sealed=sealed, control=control):
@@ -364,6 +364,7 @@
             record.control,
             0,
             5,
+            False,
             None,
             (record, record),
             (record,) * entries,
@@ -378,7 +379,7 @@
             return sent
 
         spent.append(_seconds_each(exchange) * MICROSECONDS)
-    announce = messages.Announce(messages.to_record(me), 1, 2**31)
+    announce = messages.Alive(me.name, me.incarnation, me.sequence, 100_000, 2**31)
     length = float(len(messages.encode(KEY, announce)))
     return {
         'agent_announce_us': fitting.fit('us per announcement', counts, spent),
--- a/src/egretjunction/decisions/agent_control.py
+++ b/src/egretjunction/decisions/agent_control.py
@@ -4,6 +4,7 @@
 
 from egretjunction import addresses
 from egretjunction import errors
+from egretjunction.decisions import announcing
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import effects
@@ -22,6 +23,7 @@
 
     __slots__ = (
         '_announced_at',
+        '_announcer',
         '_entries',
         '_heard_at_by_home',
         '_homes',
@@ -44,6 +46,7 @@
         self._entries: list[addresses.Address] = []
         self._announced_at = float('-inf')
         self._roster = 0
+        self._announcer = announcing.Announcer()
 
     @property
     def service(self) -> document.Service | None:
@@ -108,10 +111,12 @@
 
     def _announce(self, now: float) -> list[effects.Effect]:
         self._announced_at = now
-        record = messages.to_record(self.me)
-        generation = self.in_force.generation
-        message = messages.Announce(record, generation, self._roster)
-        return [effects.SendTo(home, message) for home in self.homes(now)]
+        return self._announcer.to(
+            self.homes(now),
+            self.me,
+            self.in_force.generation,
+            self._roster,
+        )
 
     def _is_silent(self, home: addresses.Address, now: float) -> bool:
         heard_at = self._heard_at_by_home.setdefault(home, now)
@@ -122,7 +127,8 @@
         message: messages.Welcome,
         now: float,
     ) -> list[effects.Effect]:
-        self._heard_at_by_home[addresses.unpack(message.sender)] = now
+        home = addresses.unpack(message.sender)
+        self._heard_at_by_home[home] = now
         if message.homes:
             self._take_roster(message, now)
         found: list[effects.Effect] = []
@@ -130,6 +136,9 @@
             known = messages.to_member(message.known)
             if known.version > self.me.version:
                 found.extend(self._refute(known, now))
+        if message.wants_record:
+            self._announcer.forget(home)
+            found.extend(self._announce(now))
         if message.generation > self.in_force.generation:
             wanted = messages.ConfigurationWanted(
                 messages.to_record(self.me),
--- /dev/null
+++ b/src/egretjunction/decisions/announcing.py
@@ -0,0 +1,55 @@
+"""Announces a member: its whole record once to each home, then signs of life."""
+
+import typing
+
+from egretjunction import addresses
+from egretjunction.decisions import effects
+from egretjunction.decisions import membership
+from egretjunction.wire import messages
+
+
+class Announcer:
+    """Remembers which version of the record each home entry has been sent."""
+
+    __slots__ = ('_version_by_home',)
+
+    def __init__(self) -> None:
+        self._version_by_home: dict[addresses.Address, membership.Version] = {}
+
+    def forget(self, home: addresses.Address) -> None:
+        """Send this home the whole record next time; it does not have it."""
+        self._version_by_home.pop(home, None)
+
+    def to(
+        self,
+        homes: typing.Iterable[addresses.Address],
+        me: membership.Member,
+        generation: int,
+        roster: int,
+    ) -> list[effects.Effect]:
+        """Return the announcements to some home entries.
+
+        :param homes: their control addresses.
+        :param me: the member's present record.
+        :param generation: the configuration that it follows.
+        :param roster: hash of the entries that it knows.
+        """
+        found: list[effects.Effect] = []
+        version_by_home: dict[addresses.Address, membership.Version] = {}
+        for home in homes:
+            if self._version_by_home.get(home) == me.version:
+                alive = messages.Alive(
+                    me.name,
+                    me.incarnation,
+                    me.sequence,
+                    generation,
+                    roster,
+                )
+                found.append(effects.SendTo(home, alive))
+            else:
+                record = messages.to_record(me)
+                announce = messages.Announce(record, generation, roster)
+                found.append(effects.SendTo(home, announce))
+            version_by_home[home] = me.version
+        self._version_by_home = version_by_home
+        return found
--- a/src/egretjunction/decisions/configuration.py
+++ b/src/egretjunction/decisions/configuration.py
@@ -12,7 +12,7 @@
 from egretjunction import errors
 from egretjunction.decisions import document
 
-MAX_RECENT_BYTES = 16_000
+MAX_RECENT_BYTES = 8_000
 MAX_RECENT_CHANGES = 64
 
 
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -8,6 +8,7 @@
 
 from egretjunction import addresses
 from egretjunction import errors
+from egretjunction.decisions import announcing
 from egretjunction.decisions import budgets
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
@@ -38,6 +39,7 @@
 
     __slots__ = (
         '_announced_at',
+        '_announcer',
         '_began_at',
         '_digest_at',
         '_has_met_equal',
@@ -60,6 +62,7 @@
         self.in_force = configuration.InForce()
         self._seeds = [seed for seed in seeds if seed != me.control]
         self._rumors = membership.Rumors()
+        self._announcer = announcing.Announcer()
         self._repair_budget = budgets.ByteBudget(
             REPAIR_BYTES_PER_SECOND,
             REPAIR_BURST_BYTES,
@@ -188,11 +191,14 @@
 
     def _announce(self, now: float) -> list[effects.Effect]:
         self._announced_at = now
-        generation = self.in_force.generation
-        message = messages.Announce(self._record(), generation, OWN_ROSTER)
         homes = self.view.homes(self.me.name)
         targets = [home.control for home in homes] or self._seeds
-        return [effects.SendTo(target, message) for target in targets]
+        return self._announcer.to(
+            targets,
+            self.me,
+            self.in_force.generation,
+            OWN_ROSTER,
+        )
 
     def _send_digest(self, now: float) -> list[effects.Effect]:
         self._digest_at = now
@@ -261,31 +267,51 @@
         now: float,
     ) -> list[effects.Effect]:
         found = self._hear(message.record, now)
-        self.duty.heard(message.record.name, now)
-        found.append(effects.Reply(self._welcome(message)))
+        announced = messages.to_member(message.record)
+        self.duty.heard(announced.name, now)
+        welcome = self._welcome(announced.name, announced.version, message.roster)
+        found.append(effects.Reply(welcome))
         if message.generation > self.in_force.generation:
             found.append(self._want_configuration())
         return found
 
-    def _welcome(self, message: messages.Announce) -> messages.Welcome:
-        """Answer an announcement, with lists only when the member's are old."""
-        name = message.record.name
+    def _on_alive(self, message: messages.Alive, now: float) -> list[effects.Effect]:
+        known = self.view.get(message.name)
+        version = membership.Version(message.incarnation, message.sequence, False)
+        if known is None or known.version < version:
+            wish = messages.Welcome(
+                addresses.pack(self.me.control),
+                self.in_force.generation,
+                message.roster,
+                wants_record=True,
+            )
+            return [effects.Reply(wish)]
+        self.duty.heard(message.name, now)
+        self.domains.heard(known.domain, now)
+        welcome = self._welcome(message.name, version, message.roster)
+        return [effects.Reply(welcome)]
+
+    def _welcome(
+        self,
+        name: str,
+        version: membership.Version,
+        told: int,
+    ) -> messages.Welcome:
+        """Answer a member, with lists only when the member's are old."""
         known = self.view.get(name)
         newer = None
-        if (
-            known is not None
-            and known.version > messages.to_member(message.record).version
-        ):
+        if known is not None and known.version > version:
             newer = messages.to_record(known)
         homes = self.view.homes(name)
         entries = self._entries_for(name)
         roster = membership.roster_of([*homes, *entries])
-        if roster == message.roster:
+        if roster == told:
             homes, entries = [], []
         return messages.Welcome(
             addresses.pack(self.me.control),
             self.in_force.generation,
             roster,
+            False,
             newer,
             tuple(messages.to_record(home) for home in homes),
             tuple(messages.to_record(entry) for entry in entries),
@@ -406,6 +432,23 @@
         last = msgspec.structs.replace(self._last_change(), sections={})
         return messages.ConfigurationSnapshot(last, text)
 
+    def _on_welcome(
+        self,
+        message: messages.Welcome,
+        now: float,
+    ) -> list[effects.Effect]:
+        home = addresses.unpack(message.sender)
+        found: list[effects.Effect] = []
+        if message.known is not None:
+            found.extend(self._merge_all([message.known], now))
+            found.extend(self._announce(now))
+        elif message.wants_record:
+            self._announcer.forget(home)
+            found.extend(self._announce(now))
+        if message.generation > self.in_force.generation:
+            found.append(self._want_configuration())
+        return found
+
     def _on_changes(
         self,
         message: messages.ConfigurationChanges,
@@ -424,7 +467,9 @@
 _HANDLERS: typing.Mapping[type, typing.Callable] = types.MappingProxyType(
     {
         messages.Announce: EntryControl._on_announce,
+        messages.Alive: EntryControl._on_alive,
         messages.Deltas: EntryControl._on_deltas,
+        messages.Welcome: EntryControl._on_welcome,
         messages.Digest: EntryControl._on_digest,
         messages.Buckets: EntryControl._on_buckets,
         messages.Repair: EntryControl._on_repair,
--- a/src/egretjunction/wire/messages.py
+++ b/src/egretjunction/wire/messages.py
@@ -42,12 +42,29 @@
     roster: int
 
 
+class Alive(msgspec.Struct, tag='l', array_like=True, frozen=True):
+    """A member whose record is unchanged tells a home entry that it lives on.
+
+    :param incarnation: incarnation of the record that was announced.
+    :param sequence: sequence of that record.
+    :param generation: the configuration that the member follows.
+    :param roster: hash of the entries that the member knows, 0 for none.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    generation: int
+    roster: int
+
+
 class Welcome(msgspec.Struct, tag='w', array_like=True, frozen=True):
     """A home entry answers an announcement.
 
     :param sender: control address of the entry.
     :param generation: the configuration in force at the entry.
     :param roster: hash of the lists below.
+    :param wants_record: whether the member should announce its whole record.
     :param known: a newer record of the member than the announced one, if any.
     :param homes: entries to announce to; empty while the hashes agree.
     :param entries: some entries that can carry answers; empty likewise.
@@ -56,6 +73,7 @@
     sender: bytes
     generation: int
     roster: int
+    wants_record: bool = False
     known: Record | None = None
     homes: tuple[Record, ...] = ()
     entries: tuple[Record, ...] = ()
@@ -131,6 +149,7 @@
 
 Message = (
     Announce
+    | Alive
     | Welcome
     | Deltas
     | Digest
