--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,6 +14,7 @@
 from egretjunction.decisions import configuration
 from egretjunction.decisions import entry_control
 from egretjunction.decisions import membership
+from egretjunction.decisions import repairs
 
 HERE = pathlib.Path(__file__).parent
 PAGE = HERE.parent / 'docs' / 'CAPACITY.md'
@@ -118,7 +119,7 @@
         digests=entry_control.NEIGHBOUR_COUNT / membership.DIGEST_SECONDS,
         records=records,
         rumors=records * copies,
-        repairs=entry_control.REPAIR_BYTES_PER_SECOND / buckets,
+        repairs=repairs.BYTES_PER_SECOND / buckets,
         changes=CHANGES_PER_DAY / SECONDS_PER_DAY,
     )
 
--- a/src/egretjunction/cli.py
+++ b/src/egretjunction/cli.py
@@ -10,8 +10,10 @@
 import msgspec
 import typer
 
+from egretjunction import _config_cli
 from egretjunction import errors
 from egretjunction import logs
+from egretjunction import operators
 from egretjunction import settings
 
 app = typer.Typer(
@@ -22,6 +24,7 @@
 )
 standin_app = typer.Typer(no_args_is_help=True, help='Run a stand-in, for tests only.')
 app.add_typer(standin_app, name='standin')
+app.add_typer(_config_cli.app, name='config')
 
 SettingsPath = typing.Annotated[
     str,
@@ -49,6 +52,15 @@
     asyncio.run(_run_daemon(daemon.Agent, given))
 
 
+@app.command()
+def status(
+    admin: typing.Annotated[str, typer.Argument(help='Admin address, ip:port.')],
+) -> None:
+    """Print the view of an entry or an agent."""
+    shown = asyncio.run(operators.status_of(admin))
+    sys.stdout.write(f'{msgspec.json.format(shown).decode()}\n')
+
+
 @app.command()
 def demo(
     seconds: typing.Annotated[float, typer.Option(help='Length of the load.')] = 60,
--- a/src/egretjunction/decisions/agent_control.py
+++ b/src/egretjunction/decisions/agent_control.py
@@ -3,8 +3,8 @@
 import typing
 
 from egretjunction import addresses
-from egretjunction import errors
 from egretjunction.decisions import announcing
+from egretjunction.decisions import config_exchange
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import effects
@@ -106,7 +106,7 @@
         if isinstance(message, messages.Welcome):
             return self._on_welcome(message, now)
         if isinstance(message, messages.ConfigurationSnapshot):
-            return self._on_snapshot(message)
+            return config_exchange.replace(self.in_force, message.change, message.text)
         return []
 
     def _announce(self, now: float) -> list[effects.Effect]:
@@ -176,22 +176,3 @@
             effects.Log('gone_record_refuted', sequence=self.me.sequence),
             *self._announce(now),
         ]
-
-    def _on_snapshot(
-        self,
-        message: messages.ConfigurationSnapshot,
-    ) -> list[effects.Effect]:
-        before = self.in_force.generation
-        try:
-            is_newer = self.in_force.replace(message.change, message.text)
-        except (errors.EgretjunctionError, ExceptionGroup) as error:
-            return [effects.Log('configuration_refused', error=str(error))]
-        if not is_newer:
-            return []
-        log = effects.Log(
-            'configuration_in_force',
-            generation=self.in_force.generation,
-            before=before,
-            change_id=self.in_force.change_id,
-        )
-        return [log]
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -1,32 +1,24 @@
 """An entry's part in membership and configuration: messages in, effects out."""
 
-import itertools
 import types
 import typing
 
-import msgspec
-
 from egretjunction import addresses
-from egretjunction import errors
 from egretjunction.decisions import announcing
-from egretjunction.decisions import budgets
+from egretjunction.decisions import config_exchange
 from egretjunction.decisions import configuration
-from egretjunction.decisions import document
 from egretjunction.decisions import domains
 from egretjunction.decisions import effects
 from egretjunction.decisions import membership
+from egretjunction.decisions import repairs
+from egretjunction.decisions import welcoming
 from egretjunction.wire import messages
 
 TICK_SECONDS = 1.0
 PAUSE_SECONDS = 3.0
 NEIGHBOUR_COUNT = 4
 RECORDS_PER_MESSAGE = 8
-REPAIR_BUCKETS = 8
-ENTRIES_IN_WELCOME = 4
 OWN_ROSTER = 0
-REPAIR_BYTES_PER_SECOND = 500
-REPAIR_BURST_BYTES = 20_000
-JOIN_BUCKETS = 128
 REPRESENTATIVES_PER_DOMAIN = 3
 CATCH_UP_SECONDS = 10.0
 
@@ -43,10 +35,11 @@
         '_began_at',
         '_digest_at',
         '_has_met_equal',
-        '_repair_budget',
+        '_repairs',
         '_rumors',
         '_seeds',
         '_ticked_at',
+        '_told_generation',
         'domains',
         'duty',
         'in_force',
@@ -63,15 +56,13 @@
         self._seeds = [seed for seed in seeds if seed != me.control]
         self._rumors = membership.Rumors()
         self._announcer = announcing.Announcer()
-        self._repair_budget = budgets.ByteBudget(
-            REPAIR_BYTES_PER_SECOND,
-            REPAIR_BURST_BYTES,
-        )
+        self._repairs = repairs.Repairs(self.view)
         self._announced_at = float('-inf')
         self._digest_at = float('-inf')
         self._ticked_at: float | None = None
         self._began_at: float | None = None
         self._has_met_equal = False
+        self._told_generation = 0
         self.view.merge(me, 0)
 
     def change_state(self, state: membership.State, now: float) -> list[effects.Effect]:
@@ -112,18 +103,12 @@
 
     def adopt(
         self,
-        changes: typing.Sequence[configuration.Change],
+        changes: typing.Iterable[configuration.Change],
         now: float,
     ) -> list[effects.Effect]:
         """Put changes in force that follow the present generation."""
-        before = self.in_force.generation
-        try:
-            is_newer = self.in_force.follow(changes)
-        except (errors.EgretjunctionError, ExceptionGroup) as error:
-            return [effects.Log('configuration_refused', error=str(error))]
-        if not is_newer:
-            return []
-        return self._in_force_effects(before, now)
+        found = config_exchange.follow(self.in_force, changes)
+        return self._tell_if_newer(found, now)
 
     def adopt_snapshot(
         self,
@@ -132,24 +117,8 @@
         now: float,
     ) -> list[effects.Effect]:
         """Put a whole document in force if it is newer."""
-        before = self.in_force.generation
-        try:
-            is_newer = self.in_force.replace(change, text)
-        except (errors.EgretjunctionError, ExceptionGroup) as error:
-            return [effects.Log('configuration_refused', error=str(error))]
-        if not is_newer:
-            return []
-        return self._in_force_effects(before, now)
-
-    def _in_force_effects(self, before: int, now: float) -> list[effects.Effect]:
-        generation = self.in_force.generation
-        log = effects.Log(
-            'configuration_in_force',
-            generation=generation,
-            before=before,
-            change_id=self.in_force.change_id,
-        )
-        return [log, *self._send_digest(now)]
+        found = config_exchange.replace(self.in_force, change, text)
+        return self._tell_if_newer(found, now)
 
     def is_caught_up(self, now: float) -> bool:
         """Tell whether this entry knows enough to place new flows.
@@ -173,6 +142,17 @@
         chosen = own[:REPRESENTATIVES_PER_DOMAIN]
         return any(each.name == self.me.name for each in chosen)
 
+    def _tell_if_newer(
+        self,
+        found: list[effects.Effect],
+        now: float,
+    ) -> list[effects.Effect]:
+        """Send digests at once when the generation has moved on."""
+        if self.in_force.generation == self._told_generation:
+            return found
+        self._told_generation = self.in_force.generation
+        return [*found, *self._send_digest(now)]
+
     def _record(self) -> messages.Record:
         return messages.to_record(self.me)
 
@@ -269,8 +249,7 @@
         found = self._hear(message.record, now)
         announced = messages.to_member(message.record)
         self.duty.heard(announced.name, now)
-        welcome = self._welcome(announced.name, announced.version, message.roster)
-        found.append(effects.Reply(welcome))
+        found.append(self._welcome(announced.name, announced.version, message.roster))
         if message.generation > self.in_force.generation:
             found.append(self._want_configuration())
         return found
@@ -288,42 +267,17 @@
             return [effects.Reply(wish)]
         self.duty.heard(message.name, now)
         self.domains.heard(known.domain, now)
-        welcome = self._welcome(message.name, version, message.roster)
-        return [effects.Reply(welcome)]
+        return [self._welcome(message.name, version, message.roster)]
 
     def _welcome(
         self,
         name: str,
         version: membership.Version,
         told: int,
-    ) -> messages.Welcome:
-        """Answer a member, with lists only when the member's are old."""
-        known = self.view.get(name)
-        newer = None
-        if known is not None and known.version > version:
-            newer = messages.to_record(known)
-        homes = self.view.homes(name)
-        entries = self._entries_for(name)
-        roster = membership.roster_of([*homes, *entries])
-        if roster == told:
-            homes, entries = [], []
-        return messages.Welcome(
-            addresses.pack(self.me.control),
-            self.in_force.generation,
-            roster,
-            False,
-            newer,
-            tuple(messages.to_record(home) for home in homes),
-            tuple(messages.to_record(entry) for entry in entries),
-        )
-
-    def _entries_for(self, name: str) -> list[membership.Member]:
-        """Return a few entries, spread differently for each member."""
-        entries = self.view.entries()
-        step = max(1, len(entries) // ENTRIES_IN_WELCOME)
-        start = membership.bucket_of(name) % step
-        spread = itertools.islice(entries, start, None, step)
-        return list(itertools.islice(spread, ENTRIES_IN_WELCOME))
+    ) -> effects.Reply:
+        generation = self.in_force.generation
+        welcome = welcoming.welcome(self.view, self.me, generation, name, version, told)
+        return effects.Reply(welcome)
 
     def _on_deltas(self, message: messages.Deltas, now: float) -> list[effects.Effect]:
         return self._merge_all(message.records, now)
@@ -334,7 +288,8 @@
         if message.generation > self.in_force.generation:
             found.append(self._want_configuration())
         elif message.generation < self.in_force.generation:
-            found.append(self._configuration_after(message.generation, ''))
+            answer = config_exchange.after(self.in_force, message.generation, '')
+            found.append(answer)
         if message.root == self.view.root() or message.members <= len(self.view):
             self._has_met_equal = True
         if message.root != self.view.root():
@@ -345,49 +300,25 @@
         """Repair the difference; a peer that knows little is told to ask itself."""
         if members * 2 < len(self.view):
             return [effects.Reply(self._digest(now))]
-        return self._ask_for_repair(members, now)
-
-    def _ask_for_repair(self, members: int, now: float) -> list[effects.Effect]:
-        """Send the bucket hashes, within the budget unless this entry is new."""
-        is_joining = len(self.view) * 2 < members
-        packed = self.view.packed_digest()
-        if not is_joining and not self._repair_budget.take(len(packed), now):
-            return []
-        return [effects.Reply(messages.Buckets(self._record(), packed, is_joining))]
+        return self._repairs.ask(self._record(), members, now)
 
     def _on_buckets(
         self, message: messages.Buckets, now: float
     ) -> list[effects.Effect]:
         found = self._hear(message.sender, now)
-        limit = JOIN_BUCKETS if message.is_joining else REPAIR_BUCKETS
-        buckets = self.view.differing(message.hashes)
-        first = membership.bucket_of(message.sender.name)
-        buckets = sorted(
-            buckets, key=lambda each: (each - first) % membership.BUCKET_COUNT
-        )
-        if buckets:
-            found.append(self._repair(buckets[:limit], wants_answer=True))
+        found.extend(self._repairs.answer(self._record(), message))
         return found
 
     def _on_repair(self, message: messages.Repair, now: float) -> list[effects.Effect]:
         found = self._hear(message.sender, now)
         found.extend(self._merge_all(message.records, now))
         if message.wants_answer:
-            found.append(self._repair(message.buckets, wants_answer=False))
+            found.append(
+                self._repairs.send(self._record(), message.buckets, wants_answer=False),
+            )
             found.append(effects.Reply(self._digest(now)))
         return found
 
-    def _repair(
-        self,
-        buckets: typing.Sequence[int],
-        *,
-        wants_answer: bool,
-    ) -> effects.Reply:
-        members = self.view.members_in(buckets[:JOIN_BUCKETS])
-        records = tuple(messages.to_record(member) for member in members)
-        repair = messages.Repair(self._record(), tuple(buckets), records, wants_answer)
-        return effects.Reply(repair)
-
     def _want_configuration(self) -> effects.Reply:
         generation = self.in_force.generation
         wanted = messages.ConfigurationWanted(self._record(), generation, '')
@@ -400,38 +331,14 @@
     ) -> list[effects.Effect]:
         found = self._hear(message.sender, now)
         if message.generation < self.in_force.generation:
-            answer = self._configuration_after(message.generation, message.service)
+            answer = config_exchange.after(
+                self.in_force,
+                message.generation,
+                message.service,
+            )
             found.append(answer)
         return found
 
-    def _configuration_after(self, generation: int, service: str) -> effects.Reply:
-        """Return the changes after a generation, or a snapshot."""
-        if service:
-            return effects.Reply(self._service_snapshot(service))
-        changes = self.in_force.changes_after(generation)
-        if changes is not None:
-            return effects.Reply(messages.ConfigurationChanges(changes))
-        last = msgspec.structs.replace(self._last_change(), sections={})
-        text = self.in_force.document.text()
-        return effects.Reply(messages.ConfigurationSnapshot(last, text))
-
-    def _last_change(self) -> configuration.Change:
-        return self.in_force.recent[-1]
-
-    def _service_snapshot(self, service: str) -> messages.ConfigurationSnapshot:
-        """Return the part of the document that one service's agents need."""
-        followed = self.in_force.document
-        found = followed.services.get(service)
-        wanted = []
-        if found is not None:
-            wanted.append(document.SERVICE_PREFIX + service)
-            wanted.append(document.TEAM_PREFIX + found.team)
-        text = document.join(
-            {name: followed.sections[name] for name in wanted},
-        )
-        last = msgspec.structs.replace(self._last_change(), sections={})
-        return messages.ConfigurationSnapshot(last, text)
-
     def _on_welcome(
         self,
         message: messages.Welcome,
--- a/src/egretjunction/errors.py
+++ b/src/egretjunction/errors.py
@@ -1,6 +1,7 @@
 """Exceptions that carry a message for the person at the terminal."""
 
 EXIT_USAGE = 2
+EXIT_NOT_KNOWN = 3
 
 
 class EgretjunctionError(Exception):
@@ -60,6 +61,12 @@
 class NotKnownError(PlatformUnavailableError):
     """A write was sent but its answer was lost, so its effect is unknown."""
 
+    exit_code = EXIT_NOT_KNOWN
+
+
+class UnreachableError(EgretjunctionError):
+    """A daemon's admin endpoint does not answer."""
+
 
 class ConflictError(EgretjunctionError):
     """A compare-and-swap found another revision than the expected one."""
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -1,10 +1,14 @@
 """What operators do with the configuration: apply, show, history, revert."""
 
 import datetime
+import typing
 import uuid
 
 import msgspec
+from tornado import httpclient
+from tornado import simple_httpclient
 
+from egretjunction import addresses
 from egretjunction import errors
 from egretjunction import logs
 from egretjunction import platform
@@ -14,6 +18,8 @@
 HEAD_KEY = 'config/head'
 SNAPSHOT_PREFIX = 'config/snapshot/'
 APPLY_ATTEMPTS = 8
+RETIRE_SECONDS = 1.0
+STATUS_SECONDS = 3.0
 EMPTY = document.Document({}, {}, {})
 
 
@@ -79,6 +85,46 @@
     return Accepted(head, item.revision, accepted)
 
 
+async def status_of(admin: str) -> bytes:
+    """Return what the admin endpoint of a daemon shows, as JSON.
+
+    :param admin: its address as ``ip:port``.
+    :raises errors.UnreachableError: when it does not answer.
+    """
+    client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+    try:
+        response = await client.fetch(
+            f'http://{addresses.parse(admin)}/status',
+            request_timeout=STATUS_SECONDS,
+        )
+    except ValueError as error:
+        raise errors.UnreachableError(f'"{admin}" is not {error}') from error
+    except (OSError, httpclient.HTTPError) as error:
+        raise errors.UnreachableError(f'{admin} does not answer: {error}') from error
+    finally:
+        client.close()
+    return response.body
+
+
+class _Status(msgspec.Struct):
+    name: str
+    domain: str
+    generation: int
+
+
+async def generations(admins: typing.Iterable[str]) -> dict[str, dict[str, int]]:
+    """Return the generation in force by failure domain and process.
+
+    :param admins: admin addresses of entries and agents.
+    :raises errors.UnreachableError: when one of them does not answer.
+    """
+    found: dict[str, dict[str, int]] = {}
+    for admin in admins:
+        status = msgspec.json.decode(await status_of(admin), type=_Status)
+        found.setdefault(status.domain, {})[status.name] = status.generation
+    return found
+
+
 async def read_generation(
     service: platform.Platform,
     generation: int,
@@ -87,18 +133,22 @@
 
     :raises errors.RefusedError: when the service has no such snapshot.
     """
-    prefix = f'{SNAPSHOT_PREFIX}{generation}-'
-    items = await service.list_prefix(prefix)
     accepted = await read(service)
-    if accepted.head is not None and accepted.generation == generation:
-        return accepted.document
-    known = (
-        {change.change_id for change in accepted.head.recent} if accepted.head else ()
+    recent = () if accepted.head is None else accepted.head.recent
+    for change in recent:
+        if change.generation == generation:
+            item = await service.get(snapshot_key(change))
+            if item.value:
+                return document.parse(item.value, item.key)
+    known = ', '.join(str(each.generation) for each in recent)
+    raise errors.RefusedError(
+        f'there is no snapshot of generation {generation}, only of: {known}',
     )
-    for item in items:
-        if item.key.removeprefix(prefix) in known or len(items) == 1:
-            return document.parse(item.value, item.key)
-    raise errors.RefusedError(f'there is no snapshot of generation {generation}')
+
+
+def snapshot_key(change: configuration.Change) -> str:
+    """Return the key of the whole document that a change made."""
+    return f'{SNAPSHOT_PREFIX}{change.generation}-{change.change_id}'
 
 
 async def apply(
@@ -199,19 +249,40 @@
 ) -> configuration.Change:
     """Put the snapshot, then swap the head; only the swap makes it accepted."""
     text = merged.text()
-    key = f'{SNAPSHOT_PREFIX}{change.generation}-{change.change_id}'
-    try:
-        await service.put(key, text, 0)
-    except errors.ConflictError:
-        logs.get().info('snapshot_was_there', key=key)
+    key = snapshot_key(change)
+    await _put_snapshot(service, key, text)
     head, dropped = configuration.advance(accepted.head, change, key, text)
     encoded = msgspec.json.encode(head).decode()
-    await service.put(HEAD_KEY, encoded, accepted.revision)
+    try:
+        await service.put(HEAD_KEY, encoded, accepted.revision)
+    except errors.ConflictError:
+        await _retire(service, key)
+        raise
     for old in dropped:
         logs.get().info('audit_exported', change=msgspec.json.encode(old).decode())
+        await _retire(service, snapshot_key(old))
     return change
 
 
+async def _put_snapshot(service: platform.Platform, key: str, text: str) -> None:
+    """Put a snapshot; one that is there already is a repeat of our own write."""
+    try:
+        await service.put(key, text, 0)
+    except errors.ConflictError:
+        logs.get().info('snapshot_was_there', key=key)
+
+
+async def _retire(service: platform.Platform, key: str) -> None:
+    """Let a snapshot that nobody needs lapse; a failure leaves it behind."""
+    try:
+        item = await service.get(key)
+        if item.revision:
+            lease = await service.grant_lease(RETIRE_SECONDS)
+            await service.put(key, '', item.revision, lease)
+    except (errors.PlatformUnavailableError, errors.ConflictError) as error:
+        logs.get().warning('snapshot_left_behind', key=key, error=str(error))
+
+
 async def _settle(
     service: platform.Platform,
     change_id: str,
