Changes are settled rightly when answers are lost, late or followed by an outage

A state machine of up to four operators, with every fault at every call, found that an operator was told the service was away although the swap had taken effect: the read after a lost answer failed and its plain error hid the doubt. An unreadable answer to a write counts as not known.

--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -169,23 +169,116 @@
     :raises ExceptionGroup: when the same section was changed twice.
     :raises errors.OwnershipError: when a section belongs to another team.
     """
-    change_id = uuid.uuid4().hex
+    attempt = _Attempt(service, base, wanted, author)
     for _ in range(APPLY_ATTEMPTS):
-        accepted = await read(service)
-        settled = find(accepted, change_id)
-        if settled is not None:
-            return settled
-        merged = _merged(base, wanted, accepted, author)
+        try:
+            if await attempt.make():
+                return attempt.accepted_change
+        except errors.NotKnownError:
+            logs.get().info('answer_was_lost', change_id=attempt.change_id)
+        except errors.PlatformUnavailableError as error:
+            if attempt.is_in_doubt:
+                raise errors.NotKnownError(_unsettled(attempt.change_id)) from error
+            raise
+    if attempt.is_in_doubt:
+        raise errors.NotKnownError(_unsettled(attempt.change_id))
+    raise errors.ConflictError('too many changes by others at the same time')
+
+
+def _unsettled(change_id: str) -> str:
+    return (
+        f'not yet known whether change {change_id} was accepted; when the '
+        f'service is back, run: egretjunction config settle {change_id}'
+    )
+
+
+class _Attempt:
+    """One operator's change on its way to being accepted.
+
+    :param is_in_doubt: whether a swap was sent that may still take effect; that
+        ends once the head has another revision than the swap expected.
+    """
+
+    __slots__ = (
+        '_author',
+        '_base',
+        '_doubted_revision',
+        '_service',
+        '_written',
+        'accepted_change',
+        'change_id',
+        'wanted',
+    )
+
+    def __init__(
+        self,
+        service: platform.Platform,
+        base: document.Document,
+        wanted: document.Document,
+        author: Author,
+    ) -> None:
+        self._service = service
+        self._base = base
+        self._author = author
+        self._doubted_revision: int | None = None
+        self._written: configuration.Change | None = None
+        self.accepted_change: configuration.Change | None = None
+        self.change_id = uuid.uuid4().hex
+        self.wanted = wanted
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Tell whether an earlier swap may still take effect."""
+        return self._doubted_revision is not None
+
+    async def make(self) -> bool:
+        """Read, merge and swap once; return whether the change is settled."""
+        accepted = await read(self._service)
+        if self._doubted_revision != accepted.revision:
+            self._doubted_revision = None
+        self.accepted_change = find(accepted, self.change_id)
+        if self.accepted_change is not None:
+            return True
+        await self._retire_lost(accepted)
+        merged = _merged(self._base, self.wanted, accepted, self._author)
         if merged is None:
-            return None
-        change = _change(accepted, merged, author, change_id)
+            return True
+        change = _change(accepted, merged, self._author, self.change_id)
+        return await self._swap(accepted, merged, change)
+
+    async def _swap(
+        self,
+        accepted: Accepted,
+        merged: document.Document,
+        change: configuration.Change,
+    ) -> bool:
+        """Put the snapshot, then swap the head; only the swap makes it accepted."""
+        text = merged.text()
+        key = snapshot_key(change)
+        await _put_snapshot(self._service, key, text)
+        self._written = change
+        head, dropped = configuration.advance(accepted.head, change, key, text)
+        encoded = msgspec.json.encode(head).decode()
         try:
-            return await _write(service, accepted, merged, change)
+            await self._service.put(HEAD_KEY, encoded, accepted.revision)
         except errors.ConflictError:
-            continue
-        except errors.NotKnownError as error:
-            await _settle(service, change_id, error)
-    raise errors.ConflictError('too many changes by others at the same time')
+            return False
+        except errors.NotKnownError:
+            self._doubted_revision = accepted.revision
+            raise
+        self.accepted_change = change
+        for old in dropped:
+            exported = msgspec.json.encode(old).decode()
+            logs.get().info('audit_exported', change=exported)
+            await _retire(self._service, snapshot_key(old))
+        return True
+
+    async def _retire_lost(self, accepted: Accepted) -> None:
+        """Retire the snapshot of a swap that surely lost against another one."""
+        written = self._written
+        if written is not None and written.generation <= accepted.generation:
+            self._written = None
+            await _retire(self._service, snapshot_key(written))
 
 
 def find(accepted: Accepted, change_id: str) -> configuration.Change | None:
@@ -241,29 +334,6 @@
     )
 
 
-async def _write(
-    service: platform.Platform,
-    accepted: Accepted,
-    merged: document.Document,
-    change: configuration.Change,
-) -> configuration.Change:
-    """Put the snapshot, then swap the head; only the swap makes it accepted."""
-    text = merged.text()
-    key = snapshot_key(change)
-    await _put_snapshot(service, key, text)
-    head, dropped = configuration.advance(accepted.head, change, key, text)
-    encoded = msgspec.json.encode(head).decode()
-    try:
-        await service.put(HEAD_KEY, encoded, accepted.revision)
-    except errors.ConflictError:
-        await _retire(service, key)
-        raise
-    for old in dropped:
-        logs.get().info('audit_exported', change=msgspec.json.encode(old).decode())
-        await _retire(service, snapshot_key(old))
-    return change
-
-
 async def _put_snapshot(service: platform.Platform, key: str, text: str) -> None:
     """Put a snapshot; one that is there already is a repeat of our own write."""
     try:
@@ -281,18 +351,3 @@
             await service.put(key, '', item.revision, lease)
     except (errors.PlatformUnavailableError, errors.ConflictError) as error:
         logs.get().warning('snapshot_left_behind', key=key, error=str(error))
-
-
-async def _settle(
-    service: platform.Platform,
-    change_id: str,
-    cause: errors.NotKnownError,
-) -> None:
-    """Check that the service answers again, or say that the effect is unknown."""
-    try:
-        await service.get(HEAD_KEY)
-    except errors.PlatformUnavailableError:
-        raise errors.NotKnownError(
-            f'not yet known whether change {change_id} was accepted; when the '
-            f'service is back, run: egretjunction config settle {change_id}',
-        ) from cause
--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -104,7 +104,7 @@
             )
         body = {'value': value, 'if_revision': revision, 'lease': lease}
         response = await self._write('PUT', f'/v1/kv/{key}', body)
-        return msgspec.json.decode(response.body, type=_Revision).revision
+        return _decode_written(response, _Revision).revision
 
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Return a new lease.
@@ -112,7 +112,7 @@
         :raises errors.PlatformUnavailableError: when the service does not answer.
         """
         response = await self._write('POST', '/v1/leases', {'ttl_seconds': ttl_seconds})
-        return msgspec.json.decode(response.body, type=_Lease).lease
+        return _decode_written(response, _Lease).lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Extend a lease; return False when it has lapsed.
@@ -174,3 +174,11 @@
             request_timeout=seconds,
         )
         return await self._client.fetch(request)
+
+
+def _decode_written(response: httpclient.HTTPResponse, kind: type) -> typing.Any:
+    """Read the answer to a write; an unreadable one leaves its effect unknown."""
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise errors.NotKnownError(f'unreadable answer: {error}') from error
