A backend server that refuses connections gets no more flows at once

A test of real processes killed a backend server under its living agent: a booking was given up as not run, because the agent went on taking flows until nine failures had lowered its weight step by step, and the caller's two retries met the same agent. Ruled out: the retry budget, which did its work. A refused connection now takes the weight at once, until the server is reached again; time-outs and broken answers still lower it gradually.

--- a/src/egretjunction/_requests.py
+++ b/src/egretjunction/_requests.py
@@ -218,7 +218,10 @@
     ) -> None:
         if request.stream.is_cancelled:
             return
-        self._health.failed(self._clock())
+        if error.progress < verdicts.Progress.SENT:
+            self._health.refused()
+        else:
+            self._health.failed(self._clock())
         logs.get().warning(
             'backend_server_failed',
             error=str(error),
--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/agent.py
@@ -273,7 +273,7 @@
             self._dispatcher.busy,
             self._admission.reserved(now),
             is_open=has_room and self._lifecycle.state == 'serving',
-            is_fit=self._control.me.fitness > 0,
+            is_fit=self._health.weight(now) > 0,
         )
 
     def _refuse(self, envelope: packets.Envelope, option: packets.Placement) -> None:
@@ -426,7 +426,11 @@
             try:
                 response = await client.fetch(url, request_timeout=HEALTH_CALL_SECONDS)
                 claim = msgspec.json.decode(response.body, type=BackendHealth)
+                self._health.reached()
                 self._take_claim(claim)
+            except ConnectionRefusedError:
+                self._health.refused()
+                self._figures.count('health_calls_failed')
             except (OSError, httpclient.HTTPError, msgspec.DecodeError):
                 self._health.claimed(is_healthy=False)
                 self._figures.count('health_calls_failed')
--- a/src/egretjunction/decisions/health.py
+++ b/src/egretjunction/decisions/health.py
@@ -14,11 +14,20 @@
     """Fitness of one backend server, kept by the agent beside it.
 
     Every few failures in a row lower it by one step; time without a failure
-    raises it by one step again. A claim of the health endpoint counts only
-    while there are no recent outcomes, and then it halves the weight at most.
+    raises it by one step again. A refused connection is no matter of degree:
+    nothing listens, so the weight is zero until the server is reached again. A
+    claim of the health endpoint counts only while there are no recent outcomes,
+    and then it halves the weight at most.
     """
 
-    __slots__ = ('_changed_at', '_claims_healthy', '_failures', '_outcome_at', '_step')
+    __slots__ = (
+        '_changed_at',
+        '_claims_healthy',
+        '_failures',
+        '_is_reachable',
+        '_outcome_at',
+        '_step',
+    )
 
     def __init__(self) -> None:
         self._step = 0
@@ -26,15 +35,17 @@
         self._changed_at = float('-inf')
         self._outcome_at = float('-inf')
         self._claims_healthy = True
+        self._is_reachable = True
 
     def succeeded(self, now: float) -> None:
         """Record an answer of the backend server, whatever its status."""
+        self._is_reachable = True
         self._failures = 0
         self._outcome_at = now
         self._recover(now)
 
     def failed(self, now: float) -> None:
-        """Record a refused connection, a time-out or a broken answer."""
+        """Record a time-out or a broken answer."""
         self._outcome_at = now
         self._failures += 1
         if self._failures >= FAILURES_PER_STEP:
@@ -42,12 +53,22 @@
             self._step = min(len(LEVELS) - 1, self._step + 1)
             self._changed_at = now
 
+    def refused(self) -> None:
+        """Record that the backend server does not accept connections."""
+        self._is_reachable = False
+
+    def reached(self) -> None:
+        """Record that the backend server accepts connections."""
+        self._is_reachable = True
+
     def claimed(self, is_healthy: bool) -> None:
         """Record what the health endpoint says."""
         self._claims_healthy = is_healthy
 
     def weight(self, now: float) -> float:
         """Return the share of new flows that the server should get, 0 to 1."""
+        if not self._is_reachable:
+            return 0
         self._recover(now)
         observed = LEVELS[self._step]
         if self._claims_healthy or now - self._outcome_at < EVIDENCE_SECONDS:
--- a/src/egretjunction/standins/backend.py
+++ b/src/egretjunction/standins/backend.py
@@ -195,6 +195,7 @@
     def _answer(self) -> None:
         if self.backend.behaviour.cut_answers > 0:
             self.backend.behaviour.cut_answers -= 1
+            self._free()
             self.detach().close()
             raise web.Finish
         request_id = self.request.headers.get(_headers.REQUEST_ID, '')
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -42,6 +42,15 @@
     assert fitness.weight(later * 2) == 0.5
 
 
+def test_a_refused_connection_takes_the_weight_at_once_until_reached_again():
+    fitness = health.Health()
+    fitness.succeeded(0)
+    fitness.refused()
+    assert fitness.weight(0) == 0
+    fitness.reached()
+    assert fitness.weight(0) == 1
+
+
 def test_a_lying_endpoint_is_outweighed_by_outcomes():
     fitness = health.Health()
     fitness.succeeded(10)
--- /dev/null
+++ b/tests/test_system.py
@@ -0,0 +1,328 @@
+"""Requests through the whole system, as separate processes."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import ssl
+
+import pytest
+from aioquic import asyncio as quic_asyncio
+from aioquic.h3 import connection as h3
+from aioquic.h3 import events as h3_events
+from aioquic.quic import configuration as quic_configuration
+
+from egretjunction import _caller_flow
+from egretjunction import _quic
+from egretjunction import verdicts
+from egretjunction.standins import certificates
+from egretjunction.wire import packets
+from tests import systems
+
+RAN = verdicts.Verdict.RAN
+
+
+@pytest.fixture(scope='module')
+def system(tmp_path_factory):
+    """Return a running system that the tests of this module share."""
+    with systems.running(tmp_path_factory.mktemp('system')) as started:
+        yield started
+
+
+def _request(system, method, path, service='bookings', **options):
+    async def run():
+        customer = systems.customer(system, service)
+        outcome = await customer.request(method, path, **options)
+        await customer.close()
+        return outcome
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize('service', ['bookings', 'surveys'])
+def test_request_is_answered_by_a_server_of_its_service(system, service):
+    outcome = _request(system, 'POST', '/work?work_ms=10', service, body=b'slab')
+    assert (outcome.verdict, outcome.status) == (RAN, 200)
+    answer = json.loads(outcome.body)
+    assert answer['server'].startswith(f'{service}-')
+    assert answer['received'] == len(b'slab')
+
+
+class _PlainClient(quic_asyncio.QuicConnectionProtocol):
+    """An ordinary HTTP/3 client that knows nothing of this package."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.http = h3.H3Connection(self._quic)
+        self.body = b''
+        self.done = asyncio.get_running_loop().create_future()
+
+    def quic_event_received(self, event):
+        for each in self.http.handle_event(event):
+            if isinstance(each, h3_events.DataReceived):
+                self.body += each.data
+            if getattr(each, 'stream_ended', False) and not self.done.done():
+                self.done.set_result(None)
+
+
+def test_standard_client_works_without_our_library(system):
+    async def run():
+        configuration = quic_configuration.QuicConfiguration(
+            alpn_protocols=['h3'],
+            server_name='bookings',
+        )
+        configuration.load_verify_locations(str(system.authority_file))
+        host, port = system.address_by_service['bookings']
+        async with quic_asyncio.connect(
+            host,
+            port,
+            configuration=configuration,
+            create_protocol=_PlainClient,
+        ) as client:
+            stream_id = client._quic.get_next_available_stream_id()
+            client.http.send_headers(
+                stream_id,
+                [
+                    (b':method', b'GET'),
+                    (b':scheme', b'https'),
+                    (b':authority', b'bookings'),
+                    (b':path', b'/slots?work_ms=5'),
+                ],
+                end_stream=True,
+            )
+            client.transmit()
+            await asyncio.wait_for(client.done, systems.PATIENCE_SECONDS)
+            return json.loads(client.body)
+
+    assert asyncio.run(run())['server'].startswith('bookings-')
+
+
+def test_upload_does_not_grow_the_agent_by_its_size(system):
+    size = 20_000_000
+    agent = system.process_by_name['agent-surveys-1'].pid
+    statm = pathlib.Path(f'/proc/{agent}/statm')
+    before = int(statm.read_text().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+    outcome = _request(
+        system,
+        'POST',
+        '/photos?work_ms=0',
+        'surveys',
+        body=bytes(size),
+        deadline_seconds=300,
+    )
+    after = int(statm.read_text().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+    assert json.loads(outcome.body)['received'] == size
+    assert after - before < size / 4
+
+
+def test_cancelled_request_frees_its_slot_at_the_backend_server(system):
+    async def run():
+        customer = systems.customer(system, 'surveys')
+        task = asyncio.create_task(
+            customer.request('POST', '/work?work_ms=30000', deadline_seconds=60),
+        )
+        while not systems.runs(system, 'surveys-1')['running']:
+            await asyncio.sleep(0.05)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        while systems.runs(system, 'surveys-1')['running']:
+            await asyncio.sleep(0.05)
+        await customer.close()
+
+    asyncio.run(asyncio.wait_for(run(), systems.PATIENCE_SECONDS))
+
+
+def test_deadline_stops_a_running_request_with_an_honest_verdict(system):
+    outcome = _request(
+        system,
+        'POST',
+        '/work?work_ms=60000',
+        'surveys',
+        deadline_seconds=1.5,
+    )
+    assert outcome.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    systems.wait_until(lambda: not systems.runs(system, 'surveys-1')['running'])
+
+
+def test_answer_that_the_backend_server_cuts_is_not_called_not_run(system):
+    for server in ('bookings-1', 'bookings-2'):
+        systems.command(system, server, cut_answers=1)
+    outcome = _request(system, 'POST', '/bookings?work_ms=10')
+    assert outcome.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    assert outcome.attempts == 1
+    for server in ('bookings-1', 'bookings-2'):
+        systems.command(system, server)
+
+
+def test_idempotent_request_is_tried_again_after_a_cut_answer(system):
+    for server in ('bookings-1', 'bookings-2'):
+        systems.command(system, server, cut_answers=1)
+    outcome = _request(system, 'PUT', '/bookings/1?work_ms=10')
+    assert (outcome.verdict, outcome.status) == (RAN, 200)
+    assert outcome.attempts > 1
+    for server in ('bookings-1', 'bookings-2'):
+        systems.command(system, server)
+
+
+def test_overload_is_shed_as_not_run_and_the_record_agrees(system):
+    async def run():
+        customers = [systems.customer(system, 'surveys') for _ in range(12)]
+        outcomes = await asyncio.gather(
+            *(
+                each.request(
+                    'POST',
+                    '/work?work_ms=1500',
+                    headers={'egretjunction-request-id': f'shed-{number}'},
+                    deadline_seconds=3,
+                )
+                for number, each in enumerate(customers)
+            ),
+        )
+        await asyncio.gather(*(each.close() for each in customers))
+        return outcomes
+
+    outcomes = asyncio.run(run())
+    record = systems.runs(system, 'surveys-1')
+    assert record['most_running'] <= 2
+    for number, outcome in enumerate(outcomes):
+        ran = record['runs'].get(f'shed-{number}', 0)
+        assert ran <= 1
+        if outcome.verdict is verdicts.Verdict.NOT_RUN:
+            assert ran == 0
+    assert any(each.verdict is verdicts.Verdict.NOT_RUN for each in outcomes)
+
+
+def _datagrams(system, payloads, address=None):
+    target = address or system.address_by_service['bookings']
+    with socket.socket(type=socket.SOCK_DGRAM) as sender:
+        for payload in payloads:
+            sender.sendto(payload, target)
+
+
+def _dropped(system, reason):
+    return sum(
+        systems.figure(system, entry, f'packets_dropped_{reason}_total')
+        for entry in system.data_by_entry
+        if entry in system.process_by_name
+    )
+
+
+def _check_alive(system):
+    outcome = _request(system, 'GET', '/slots?work_ms=5')
+    assert outcome.status == 200, (outcome.reason, outcome.headers)
+
+
+@pytest.mark.parametrize(
+    ('reason', 'payload'),
+    [
+        ('not_quic', b'garbage'),
+        ('unknown_owner', b'\x40' + bytes(60)),
+        ('first_packet_too_short', b'\xc0\x00\x00\x00\x01\x08' + bytes(30)),
+    ],
+)
+def test_bad_packets_are_counted_and_stop_nothing(system, reason, payload):
+    before = _dropped(system, reason)
+    _datagrams(system, [payload] * 20)
+    systems.wait_until(lambda: _dropped(system, reason) >= before + 10)
+    _check_alive(system)
+
+
+def test_oversized_and_raw_datagrams_are_refused_by_entry_and_agent(system):
+    entry = system.data_by_entry['entry-1']
+    before = _dropped(system, 'malformed')
+    _datagrams(system, [os.urandom(60_000), b'', b'\x00'], entry)
+    systems.wait_until(lambda: _dropped(system, 'malformed') > before)
+    _check_alive(system)
+
+
+def test_packet_for_an_unknown_service_is_counted(system):
+    elsewhere = ('127.0.0.1', 9)
+    envelope = packets.Envelope(('127.0.0.1', 1), elsewhere, b'\xc0' + bytes(1300))
+    entry = system.data_by_entry['entry-1']
+    _datagrams(system, [packets.encode(envelope)], entry)
+    systems.wait_until(lambda: _dropped(system, 'unknown_service') >= 1)
+
+
+def test_flow_of_one_service_is_refused_at_the_address_of_another(system):
+    async def run():
+        customer = systems.customer(system, 'bookings')
+        await customer.request('GET', '/slots?work_ms=5')
+        flow = customer._flow
+        owner = flow._quic._peer_cid.cid
+        await customer.close()
+        return b'\x40' + owner + bytes(60)
+
+    stray = asyncio.run(run())
+    before = _dropped(system, 'unknown_owner')
+    _datagrams(system, [stray] * 5, system.address_by_service['surveys'])
+    systems.wait_until(lambda: _dropped(system, 'unknown_owner') >= before + 5)
+
+
+@pytest.mark.parametrize('case', ['another authority', 'another name'])
+def test_caller_refuses_a_certificate_that_it_cannot_trust(system, case, tmp_path):
+    certificates.write(tmp_path, ['bookings'])
+    authority = system.authority_file
+    name = 'surveys'
+    if case == 'another authority':
+        authority, name = tmp_path / 'authority.pem', 'bookings'
+
+    async def run():
+        configuration = _quic.client_configuration(name, str(authority))
+        address = system.address_by_service['bookings']
+        with pytest.raises(_caller_flow.FlowError) as raised:
+            await _caller_flow.connect(address, configuration)
+        return raised.value.verdict
+
+    assert asyncio.run(run()) is verdicts.Verdict.NOT_RUN
+
+
+def test_metrics_name_the_role_and_have_percentiles(system):
+    text = system.get('agent-bookings-1', '/metrics').decode()
+    assert 'egretjunction_flows_taken_total{role="agent"}' in text
+    assert 'quantile="0.99"' in text
+
+
+def test_logs_are_one_line_of_pairs_for_each_event(system):
+    log = (system.folder / 'entry-1.log').read_text()
+    for line in log.splitlines():
+        assert line.startswith('timestamp='), line
+        assert ' event=' in line
+
+
+@pytest.mark.parametrize('days', [-1])
+def test_expired_certificate_is_refused(tmp_path, days):
+    certificates.write(tmp_path, ['bookings'], days)
+    context = ssl.create_default_context(cafile=str(tmp_path / 'authority.pem'))
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    server.load_cert_chain(tmp_path / 'bookings.pem', tmp_path / 'bookings.key')
+    inbound, outbound = ssl.MemoryBIO(), ssl.MemoryBIO()
+    client = context.wrap_bio(inbound, outbound, server_hostname='bookings')
+    accepted = server.wrap_bio(outbound, inbound, server_side=True)
+    with pytest.raises(ssl.SSLCertVerificationError, match='expired'):
+        for _ in range(4):
+            with contextlib.suppress(ssl.SSLWantReadError):
+                client.do_handshake()
+            with contextlib.suppress(ssl.SSLWantReadError):
+                accepted.do_handshake()
+
+
+def test_paused_entry_does_not_break_a_feed(system):
+    async def run():
+        customer = systems.customer(system)
+        seen = []
+        async for update in customer.feed('/feed'):
+            seen.append(update.event_id)
+            if len(seen) == 3:
+                system.send_signal('entry-2', signal.SIGSTOP)
+            if len(seen) == 10:
+                system.send_signal('entry-2', signal.SIGCONT)
+            if len(seen) == 14:
+                break
+        return seen
+
+    seen = asyncio.run(asyncio.wait_for(run(), systems.PATIENCE_SECONDS))
+    assert seen == list(range(seen[0], seen[0] + 14))
