--- a/src/egretjunction/_caller_flow.py
+++ b/src/egretjunction/_caller_flow.py
@@ -15,7 +15,6 @@
 from egretjunction import addresses
 from egretjunction import verdicts
 
-HANDSHAKE_SECONDS = 2.0
 KEEP_ALIVE_SECONDS = 25.0
 SEND_HIGH_WATER_BYTES = 262_144
 CHUNK_BYTES = 65_536
@@ -261,9 +260,13 @@
 async def connect(
     address: addresses.Address,
     configuration: quic_configuration.QuicConfiguration,
+    patience_seconds: float,
 ) -> CallerFlow:
     """Open a connection to a service address.
 
+    :param address: the service address.
+    :param configuration: QUIC configuration of a caller.
+    :param patience_seconds: time that the handshake may take.
     :raises FlowError: with NOT_RUN, when the handshake does not finish in time.
     """
     loop = asyncio.get_running_loop()
@@ -274,7 +277,7 @@
     )
     flow.connect(address)
     try:
-        await asyncio.wait_for(flow.wait_connected(), HANDSHAKE_SECONDS)
+        await asyncio.wait_for(flow.wait_connected(), patience_seconds)
     except (TimeoutError, ConnectionError) as error:
         close(flow)
         message = f'no connection to {address}'
--- a/src/egretjunction/caller.py
+++ b/src/egretjunction/caller.py
@@ -82,7 +82,15 @@
 class _Call:
     """The parts of a request that stay the same for each attempt."""
 
-    __slots__ = ('body', 'deadline', 'headers', 'is_idempotent', 'method', 'path')
+    __slots__ = (
+        'attempts',
+        'body',
+        'deadline',
+        'headers',
+        'is_idempotent',
+        'method',
+        'path',
+    )
 
     def __init__(
         self,
@@ -100,6 +108,7 @@
         self.body = body
         self.deadline = deadline
         self.is_idempotent = is_idempotent
+        self.attempts = 1
 
 
 class Caller:
@@ -172,8 +181,11 @@
         :param path: path of the feed.
         :param last_id: number of the last update that the caller has.
         """
+        attempts = 0
         while True:
-            async for update in self._feed_until_broken(path, last_id):
+            attempts += 1
+            async for update in self._feed_until_broken(path, last_id, attempts):
+                attempts = 0
                 last_id = update.event_id
                 yield update
             await asyncio.sleep(FEED_RETRY_SECONDS * self._random.random())
@@ -182,10 +194,11 @@
         self,
         path: str,
         last_id: int,
+        attempts: int,
     ) -> typing.AsyncIterator[Update]:
         """Yield new updates from one connection until it moves or breaks."""
         try:
-            async for update in self._feed_once(path, last_id):
+            async for update in self._feed_once(path, last_id, attempts):
                 if update.event_id > last_id:
                     last_id = update.event_id
                     yield update
@@ -199,14 +212,18 @@
 
     async def _attempt_until_settled(self, call: _Call) -> Outcome:
         attempts = 0
+        known = verdicts.Verdict.NOT_RUN
         while True:
             attempts += 1
+            call.attempts = attempts
             outcome = await self._attempt(call)
             outcome.attempts = attempts
             if outcome.is_answered:
                 return outcome
+            known = verdicts.over_attempts(known, outcome.verdict)
+            outcome.verdict = known
             delay = retries.delay_before_retry(
-                retries.Failure(outcome.verdict, attempts, _retry_after(outcome)),
+                retries.Failure(known, attempts, _retry_after(outcome)),
                 call.is_idempotent,
                 call.deadline - time.monotonic(),
                 self._budget,
@@ -233,7 +250,8 @@
         call: _Call,
         sent: list[_caller_flow.Answer],
     ) -> Outcome:
-        flow = await self._usable_flow()
+        patience = retries.handshake_seconds(call.attempts)
+        flow = await self._usable_flow(patience)
         left_ms = int((call.deadline - time.monotonic()) * _headers.MS_PER_SECOND)
         fields = {**call.headers, _headers.DEADLINE_MS: str(max(1, left_ms))}
         pairs = self._pairs(call.method, call.path, fields, len(call.body))
@@ -268,20 +286,20 @@
             pairs.append((b'content-length', str(body_bytes).encode()))
         return pairs
 
-    async def _usable_flow(self) -> _caller_flow.CallerFlow:
+    async def _usable_flow(self, patience: float) -> _caller_flow.CallerFlow:
         async with self._flow_lock:
             if self._flow is None or not self._flow.is_usable:
                 self._drop_flow()
-                self._flow = await self._connect()
+                self._flow = await self._connect(patience)
             return self._flow
 
-    async def _connect(self) -> _caller_flow.CallerFlow:
+    async def _connect(self, patience: float) -> _caller_flow.CallerFlow:
         self.connected_count += 1
         configuration = _quic.client_configuration(
             self._server_name,
             self._authority_file,
         )
-        return await _caller_flow.connect(self._service, configuration)
+        return await _caller_flow.connect(self._service, configuration, patience)
 
     def _drop_flow(self) -> None:
         flow = self._flow
@@ -297,9 +315,10 @@
         self,
         path: str,
         last_id: int,
+        attempts: int,
     ) -> typing.AsyncIterator[Update]:
         """Yield updates from one connection until its server leaves."""
-        flow = await self._connect()
+        flow = await self._connect(retries.handshake_seconds(max(1, attempts)))
         fields = {'accept': 'text/event-stream'}
         if last_id >= 0:
             fields['last-event-id'] = str(last_id)
--- a/src/egretjunction/decisions/retries.py
+++ b/src/egretjunction/decisions/retries.py
@@ -10,6 +10,20 @@
 BACKOFF_FACTOR = 2
 MAX_BACKOFF_SECONDS = 2.0
 JITTER_SHARE = 0.5
+FIRST_HANDSHAKE_SECONDS = 0.75
+MAX_HANDSHAKE_SECONDS = 3.0
+
+
+def handshake_seconds(attempt: int) -> float:
+    """Return how long a handshake may take before a fresh flow is tried.
+
+    Nothing of the request was sent by then, so trying again is always safe. A
+    fresh flow has other candidates, which helps when the first one is dead.
+
+    :param attempt: number of the attempt, from 1.
+    """
+    seconds = FIRST_HANDSHAKE_SECONDS * BACKOFF_FACTOR ** (attempt - 1)
+    return min(MAX_HANDSHAKE_SECONDS, seconds)
 
 
 class Budget:
--- a/src/egretjunction/demo.py
+++ b/src/egretjunction/demo.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import pathlib
 import signal
 import sys
@@ -211,11 +212,20 @@
                 for each in samples
                 if each.server in servers and each.at < self._seconds * DRAIN_AT
             ]
-            measured = imbalance.measure(done, servers, WINDOW_SECONDS)
+            measured = imbalance.measure(
+                done,
+                functools.partial(_same, servers),
+                WINDOW_SECONDS,
+            )
             found[service.name] = (measured.max_over_mean, measured.variation)
         return found
 
 
+def _same(servers: list[str], _window: int) -> list[str]:
+    """Return the same servers for every window."""
+    return servers
+
+
 def kinds(size: sizes.Size) -> list[customers.Kind]:
     """Return the work for a user: small on the first service, large on the last."""
     small, large = size.services
--- a/src/egretjunction/imbalance.py
+++ b/src/egretjunction/imbalance.py
@@ -39,13 +39,14 @@
 
 def measure(
     done: typing.Iterable[Work],
-    servers: typing.Collection[str],
+    servers_in: typing.Callable[[int], typing.Collection[str]],
     window_seconds: float,
 ) -> Imbalance:
     """Return the imbalance of slot-seconds started per window.
 
     :param done: the work, in any order.
-    :param servers: all backend servers, also those that got none.
+    :param servers_in: returns the backend servers that served during a window,
+        given its number, also those that got no work.
     :param window_seconds: length of a window.
     """
     load_by_window: dict[int, collections.Counter[str]] = {}
@@ -55,9 +56,9 @@
         load[work.server] += work.seconds  # type: ignore[assignment]
     ratios = []
     variations = []
-    for load in load_by_window.values():
-        loads = [load[server] for server in servers]
-        mean = statistics.fmean(loads)
+    for window, load in load_by_window.items():
+        loads = [load[server] for server in servers_in(window)]
+        mean = statistics.fmean(loads) if loads else 0
         if mean > 0:
             ratios.append(max(loads) / mean)
             variations.append(statistics.pstdev(loads) / mean)
--- a/src/egretjunction/verdicts.py
+++ b/src/egretjunction/verdicts.py
@@ -21,6 +21,20 @@
     ANSWERED = 4
 
 
+def over_attempts(earlier: Verdict, last: Verdict) -> Verdict:
+    """Return what is known of a request after a further attempt.
+
+    An attempt that may have run leaves its doubt behind, unless a later one
+    was surely run.
+
+    :param earlier: what was known before the attempt.
+    :param last: what is known of the attempt itself.
+    """
+    if last is Verdict.NOT_RUN:
+        return earlier
+    return last
+
+
 def verdict_at(progress: Progress) -> Verdict:
     """Return what may be claimed about a request that stopped at a step.
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -274,7 +274,7 @@
         configuration = _quic.client_configuration(name, str(authority))
         address = system.address_by_service['bookings']
         with pytest.raises(_caller_flow.FlowError) as raised:
-            await _caller_flow.connect(address, configuration)
+            await _caller_flow.connect(address, configuration, 3)
         return raised.value.verdict
 
     assert asyncio.run(run()) is verdicts.Verdict.NOT_RUN
