--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The small specification: ``python -m spec`` checks every invariant."""
--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/agent.py
@@ -211,13 +211,22 @@
         elif self._flows.is_ours(fields.connection_id):
             self._reset(envelope, fields, option)
         elif fields.is_long and option.candidates:
-            if option.tried:
-                acknowledgement = packets.encode_acknowledgement(fields.connection_id)
-                self._data.send(acknowledgement, sender)
+            self._acknowledge(fields, option, sender)
             self._on_first(envelope, fields, option, now)
         else:
             self._drop('unknown_flow', sender, fields.connection_id.hex())
 
+    def _acknowledge(
+        self,
+        fields: packets.QuicFields,
+        option: packets.Placement,
+        sender: tuple[str, int],
+    ) -> None:
+        """Tell an agent that passed a first packet on that it has arrived."""
+        if option.tried:
+            datagram = packets.encode_acknowledgement(fields.connection_id)
+            self._data.send(datagram, sender)
+
     def _feed(
         self,
         flow: _flows.Flow,
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -312,6 +312,8 @@
     def _on_repair(self, message: messages.Repair, now: float) -> list[effects.Effect]:
         found = self._hear(message.sender, now)
         found.extend(self._merge_all(message.records, now))
+        if message.members <= len(self.view):
+            self._has_met_equal = True
         if message.wants_answer:
             found.append(
                 self._repairs.send(self._record(), message.buckets, wants_answer=False),
--- a/src/egretjunction/decisions/repairs.py
+++ b/src/egretjunction/decisions/repairs.py
@@ -73,4 +73,6 @@
         chosen = tuple(buckets[:JOIN_BUCKETS])
         members = self._view.members_in(chosen)
         records = tuple(messages.to_record(member) for member in members)
-        return effects.Reply(messages.Repair(sender, chosen, records, wants_answer))
+        members_known = len(self._view)
+        repair = messages.Repair(sender, chosen, records, members_known, wants_answer)
+        return effects.Reply(repair)
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -171,20 +171,26 @@
     """
     attempt = _Attempt(service, base, wanted, author)
     for _ in range(APPLY_ATTEMPTS):
-        try:
-            if await attempt.make():
-                return attempt.accepted_change
-        except errors.NotKnownError:
-            logs.get().info('answer_was_lost', change_id=attempt.change_id)
-        except errors.PlatformUnavailableError as error:
-            if attempt.is_in_doubt:
-                raise errors.NotKnownError(_unsettled(attempt.change_id)) from error
-            raise
+        if await _try_once(attempt):
+            return attempt.accepted_change
     if attempt.is_in_doubt:
         raise errors.NotKnownError(_unsettled(attempt.change_id))
     raise errors.ConflictError('too many changes by others at the same time')
 
 
+async def _try_once(attempt: '_Attempt') -> bool:
+    """Make one attempt; a lost answer only means that it is not settled yet."""
+    try:
+        return await attempt.make()
+    except errors.NotKnownError:
+        logs.get().info('answer_was_lost', change_id=attempt.change_id)
+    except errors.PlatformUnavailableError as error:
+        if not attempt.is_in_doubt:
+            raise
+        raise errors.NotKnownError(_unsettled(attempt.change_id)) from error
+    return False
+
+
 def _unsettled(change_id: str) -> str:
     return (
         f'not yet known whether change {change_id} was accepted; when the '
--- a/src/egretjunction/wire/messages.py
+++ b/src/egretjunction/wire/messages.py
@@ -114,12 +114,14 @@
 class Repair(msgspec.Struct, tag='r', array_like=True, frozen=True):
     """All records of the buckets that differ.
 
+    :param members: number of records in the sender's view.
     :param wants_answer: whether the receiver should send its own records back.
     """
 
     sender: Record
     buckets: tuple[int, ...]
     records: tuple[Record, ...]
+    members: int
     wants_answer: bool
 
 
