--- /dev/null
+++ b/src/egretjunction/_drops.py
@@ -0,0 +1,39 @@
+"""Counts dropped packets by reason and logs the first few of each."""
+
+import collections
+
+from egretjunction import addresses
+from egretjunction import logs
+from egretjunction import metrics
+
+LOGGED_PER_REASON = 5
+
+
+class Drops:
+    """Dropped packets of one process.
+
+    :param figures: where they are counted.
+    """
+
+    __slots__ = ('_figures', '_logged_by_reason')
+
+    def __init__(self, figures: metrics.Metrics) -> None:
+        self._figures = figures
+        self._logged_by_reason: collections.Counter[str] = collections.Counter()
+
+    def note(self, reason: str, sender: tuple[str, int], detail: str) -> None:
+        """Count a dropped packet, and log it while its reason is new.
+
+        :param reason: short name, which becomes part of the counter's name.
+        :param sender: where the packet came from.
+        :param detail: more for people.
+        """
+        self._figures.count(f'packets_dropped_{reason}')
+        self._logged_by_reason[reason] += 1
+        if self._logged_by_reason[reason] <= LOGGED_PER_REASON:
+            logs.get().warning(
+                'packet_dropped',
+                reason=reason,
+                sender=str(addresses.Address(*sender)),
+                detail=detail,
+            )
--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/agent.py
@@ -1,11 +1,8 @@
 """The agent daemon: owns flows and runs their requests on one backend server."""
 
 import asyncio
-import collections
-import os
 import signal
 import time
-import typing
 
 import msgspec
 from tornado import httpclient
@@ -13,6 +10,7 @@
 from tornado import simple_httpclient
 
 from egretjunction import _admin
+from egretjunction import _arrivals
 from egretjunction import _flow_table
 from egretjunction import _flows
 from egretjunction import _quic
@@ -26,16 +24,12 @@
 from egretjunction import metrics
 from egretjunction import platform
 from egretjunction import settings
-from egretjunction.decisions import admission
 from egretjunction.decisions import agent_control
-from egretjunction.decisions import answers
 from egretjunction.decisions import dispatch
 from egretjunction.decisions import health
 from egretjunction.decisions import incarnations
 from egretjunction.decisions import membership
 from egretjunction.decisions import ownership
-from egretjunction.decisions import placement
-from egretjunction.wire import packets
 
 TICK_SECONDS = 0.25
 HEALTH_SECONDS = 0.5
@@ -43,8 +37,6 @@
 IDLE_GRACE_SECONDS = 2.0
 LEAVE_SECONDS = 0.5
 QUEUE_LIMIT_BEFORE_CONFIGURED = 1
-RESET_FILLER_BYTES = 21
-LOGGED_PER_REASON = 5
 ENTRIES_PREFIX = 'entries/'
 
 
@@ -80,8 +72,6 @@
         self._lifecycle = lifecycles.Lifecycle('agent')
         self._health = health.Health()
         self._control = agent_control.AgentControl(self._own_record(), given.seeds)
-        self._admission = admission.Admission(given.data)
-        self._answers = answers.AnswerPaths()
         self._dispatcher = dispatch.Dispatcher(
             given.slots,
             QUEUE_LIMIT_BEFORE_CONFIGURED,
@@ -98,19 +88,32 @@
             self._figures,
             self._clock,
         )
-        self._handlers = _flows.Handlers(
-            self._send,
+        self._arrivals = _arrivals.Arrivals(
+            given,
+            self._key,
+            self._flows,
+            self._dispatcher,
+            self._health,
+            self._figures,
+            _arrivals.Outlook(
+                lambda: self._control.service,
+                lambda: self._control.entries,
+                lambda: self._lifecycle.state == 'serving',
+            ),
+        )
+        self._arrivals.handlers = _flows.Handlers(
+            self._arrivals.send,
             self._on_request,
             self._requests.cancel,
-            self._on_flow_gone,
+            self._arrivals.forget,
         )
-        self._logged_by_reason: collections.Counter[str] = collections.Counter()
         self._drain_began_at = float(0)
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until a drain has finished."""
-        self._data = _udp.DatagramSocket(self._given.data, self._on_datagram)
+        self._data = _udp.DatagramSocket(self._given.data, self._arrivals.receive)
+        self._arrivals.transmit = self._data.send
         self._register_figures()
         admin = _admin.serve(
             self._given.admin,
@@ -186,253 +189,10 @@
             'waiting': self._dispatcher.waiting,
         }
 
-    # Packets
-
-    def _on_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
-        now = self._clock()
-        acknowledged = packets.acknowledged_id(datagram)
-        if acknowledged is not None:
-            self._admission.acknowledged(acknowledged, addresses.Address(*sender))
-            return
-        try:
-            envelope = packets.decode(datagram)
-            fields = packets.read_quic_fields(envelope.payload)
-        except errors.PacketError as error:
-            self._drop('malformed', sender, str(error))
-            return
-        option = envelope.placement
-        if option is None:
-            self._drop('without_placement', sender, '')
-            return
-        self._answers.heard(option.entry, now)
-        flow = self._flows.find(fields.connection_id)
-        if flow is not None:
-            self._feed(flow, envelope, option, now)
-        elif self._flows.is_ours(fields.connection_id):
-            self._reset(envelope, fields, option)
-        elif fields.is_long and option.candidates:
-            self._acknowledge(fields, option, sender)
-            self._on_first(envelope, fields, option, now)
-        else:
-            self._drop('unknown_flow', sender, fields.connection_id.hex())
-
-    def _acknowledge(
-        self,
-        fields: packets.QuicFields,
-        option: packets.Placement,
-        sender: tuple[str, int],
-    ) -> None:
-        """Tell an agent that passed a first packet on that it has arrived."""
-        if option.tried:
-            datagram = packets.encode_acknowledgement(fields.connection_id)
-            self._data.send(datagram, sender)
-
-    def _feed(
-        self,
-        flow: _flows.Flow,
-        envelope: packets.Envelope,
-        option: packets.Placement,
-        now: float,
-    ) -> None:
-        """Hand a packet to its flow, if it came to the flow's own service."""
-        if envelope.destination != flow.service_address:
-            self._drop('wrong_service', envelope.source, str(envelope.destination))
-            return
-        flow.entry = option.entry
-        flow.heard_at = now
-        flow.datagram_received(envelope.payload, envelope.source)
-
-    def _reset(
-        self,
-        envelope: packets.Envelope,
-        fields: packets.QuicFields,
-        option: packets.Placement,
-    ) -> None:
-        """End a flow of an earlier process at this address, or one that is over."""
-        if fields.is_long or len(envelope.payload) <= RESET_FILLER_BYTES * 2:
-            self._figures.count('packets_dropped_ended_flow')
-            return
-        token = ownership.reset_token(self._key, fields.connection_id)
-        packet = _quic.stateless_reset(token, os.urandom(RESET_FILLER_BYTES))
-        self._figures.count('flows_reset')
-        self._answer(envelope, packet, option.entry)
-
-    def _on_first(
-        self,
-        envelope: packets.Envelope,
-        fields: packets.QuicFields,
-        option: packets.Placement,
-        now: float,
-    ) -> None:
-        service = self._control.service
-        if service is None or envelope.destination != service.address:
-            self._drop('wrong_service', envelope.source, str(envelope.destination))
-            return
-        try:
-            decision = self._admission.decide(
-                fields.connection_id,
-                option,
-                self._own_load(now),
-                now,
-            )
-        except errors.PacketError as error:
-            self._drop('malformed', envelope.source, str(error))
-            return
-        self._carry_out(decision, envelope, fields, now)
-
-    def _carry_out(
-        self,
-        decision: admission.Answer,
-        envelope: packets.Envelope,
-        fields: packets.QuicFields,
-        now: float,
-    ) -> None:
-        option = typing.cast('packets.Placement', envelope.placement)
-        if isinstance(decision, admission.PassOn):
-            self._pass_on(decision, envelope, fields)
-        elif isinstance(decision, admission.Refuse):
-            self._refuse(envelope, option)
-        else:
-            self._take(envelope, fields, option, now)
-
-    def _pass_on(
-        self,
-        decision: admission.PassOn,
-        envelope: packets.Envelope,
-        fields: packets.QuicFields,
-    ) -> None:
-        """Send a first packet on, and look later whether it has arrived."""
-        self._figures.count('first_packets_passed_on')
-        envelope.placement = decision.option
-        self._data.send(packets.encode(envelope), decision.address)
-        ioloop.IOLoop.current().call_later(
-            admission.ACKNOWLEDGE_SECONDS,
-            self._check_passed,
-            decision,
-            envelope,
-            fields,
-        )
-
-    def _check_passed(
-        self,
-        passed: admission.PassOn,
-        envelope: packets.Envelope,
-        fields: packets.QuicFields,
-    ) -> None:
-        now = self._clock()
-        decision = self._admission.unanswered(
-            fields.connection_id,
-            passed,
-            self._own_load(now),
-            now,
-        )
-        if decision is not None:
-            self._figures.count('first_packets_unanswered')
-            self._carry_out(decision, envelope, fields, now)
-
-    def _own_load(self, now: float) -> placement.OwnLoad:
-        has_room = len(self._flows) < self._given.max_connections
-        return placement.OwnLoad(
-            self._given.slots,
-            self._dispatcher.busy,
-            self._admission.reserved(now),
-            is_open=has_room and self._lifecycle.state == 'serving',
-            is_fit=self._health.weight(now) > 0,
-        )
-
-    def _refuse(self, envelope: packets.Envelope, option: packets.Placement) -> None:
-        self._figures.count('flows_refused')
-        try:
-            packet = _quic.refusal(envelope.payload)
-        except ValueError as error:
-            self._drop('malformed', envelope.source, str(error))
-            return
-        self._answer(envelope, packet, option.entry)
-
-    def _take(
-        self,
-        envelope: packets.Envelope,
-        fields: packets.QuicFields,
-        option: packets.Placement,
-        now: float,
-    ) -> None:
-        try:
-            negotiation = _quic.version_negotiation(envelope.payload)
-        except ValueError as error:
-            self._drop('malformed', envelope.source, str(error))
-            return
-        if negotiation is None:
-            self._open(envelope, fields, option, now)
-        else:
-            self._answer(envelope, negotiation, option.entry)
-
-    def _open(
-        self,
-        envelope: packets.Envelope,
-        fields: packets.QuicFields,
-        option: packets.Placement,
-        now: float,
-    ) -> None:
-        flow = self._flows.open(
-            fields.connection_id,
-            envelope.destination,
-            self._handlers,
-        )
-        self._admission.reserve(flow, now)
-        self._figures.count('flows_taken')
-        self._feed(flow, envelope, option, now)
-
-    def _on_flow_gone(self, flow: _flows.Flow) -> None:
-        self._admission.release(flow)
-        self._flows.remove(flow)
-
-    def _send(self, flow: _flows.Flow, payload: bytes, caller: tuple[str, int]) -> None:
-        """Send a datagram of a flow to its caller through a live entry."""
-        entry = self._answers.choose(
-            flow.entry,
-            flow.heard_at,
-            self._control.entries,
-            self._clock(),
-        )
-        if entry is None:
-            self._figures.count('answers_without_entry')
-            return
-        envelope = packets.Envelope(
-            flow.service_address,
-            addresses.Address(caller[0], caller[1]),
-            payload,
-        )
-        self._data.send(packets.encode(envelope), entry)
-
-    def _answer(
-        self,
-        envelope: packets.Envelope,
-        payload: bytes,
-        entry: addresses.Address,
-    ) -> None:
-        """Send one datagram back to a caller that has no flow here."""
-        answer = packets.Envelope(envelope.destination, envelope.source, payload)
-        self._data.send(packets.encode(answer), entry)
-
-    def _drop(self, reason: str, sender: tuple[str, int], detail: str) -> None:
-        self._figures.count(f'packets_dropped_{reason}')
-        self._logged_by_reason[reason] += 1
-        if self._logged_by_reason[reason] <= LOGGED_PER_REASON:
-            logs.get().warning(
-                'packet_dropped',
-                reason=reason,
-                sender=str(addresses.Address(*sender)),
-                detail=detail,
-            )
-
-    # Requests
-
     def _on_request(self, stream: _flows.Stream) -> None:
-        self._admission.release(stream.flow)
+        self._arrivals.release(stream.flow)
         self._requests.accept(stream, self._control.service)
 
-    # Control
-
     def _on_message(self, message: object) -> list:
         found = self._control.receive(message, self._clock())
         self._note_configuration()
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/entry.py
@@ -1,7 +1,6 @@
 """The entry daemon: takes packets from the fabric, finds their agent."""
 
 import asyncio
-import collections
 import signal
 import time
 
@@ -9,8 +8,8 @@
 from tornado import ioloop
 
 from egretjunction import _admin
+from egretjunction import _drops
 from egretjunction import _udp
-from egretjunction import addresses
 from egretjunction import control
 from egretjunction import errors
 from egretjunction import lifecycles
@@ -32,7 +31,6 @@
 POLL_SECONDS = 60.0
 RETRY_SECONDS = 1.0
 DRAIN_SECONDS = 3.0
-LOGGED_PER_REASON = 5
 
 
 class Entry:
@@ -61,7 +59,7 @@
             self._clock,
         )
         self._platform = platform.Platform(given.platform)
-        self._logged_by_reason: collections.Counter[str] = collections.Counter()
+        self._drops = _drops.Drops(self._figures)
         self._stopped = asyncio.Event()
         self._head_revision = -1
 
@@ -161,7 +159,7 @@
         try:
             envelope = packets.decode(datagram)
         except errors.PacketError as error:
-            self._drop('malformed', sender, str(error))
+            self._drops.note('malformed', sender, str(error))
             return
         if self._router.service_at(envelope.source) is not None:
             self._figures.count('packets_to_callers')
@@ -171,7 +169,7 @@
             envelope.destination, envelope.payload, self._clock()
         )
         if isinstance(found, routing.Drop):
-            self._drop(found.reason, sender, str(envelope.destination))
+            self._drops.note(found.reason, sender, str(envelope.destination))
             return
         envelope.placement = packets.Placement(
             0,
@@ -183,17 +181,6 @@
         self._figures.count('packets_to_agents')
         self._data.send(packets.encode(envelope), found.address)
 
-    def _drop(self, reason: str, sender: tuple[str, int], detail: str) -> None:
-        self._figures.count(f'packets_dropped_{reason}')
-        self._logged_by_reason[reason] += 1
-        if self._logged_by_reason[reason] <= LOGGED_PER_REASON:
-            logs.get().warning(
-                'packet_dropped',
-                reason=reason,
-                sender=str(addresses.Address(*sender)),
-                detail=detail,
-            )
-
     def _on_message(self, message: object) -> list:
         found = self._control.receive(message, self._clock())
         self._note_progress()
