--- a/bench/inforce.py
+++ b/bench/inforce.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import pathlib
 import tempfile
 import time
@@ -30,7 +29,7 @@
 
 async def _wait_everywhere(system: cluster.Cluster, generation: int) -> None:
     """Wait until each entry and agent follows a generation."""
-    left = [name for name in system.admin_by_name if name not in {'fabric', 'backend'}]
+    left = [name for name in system.admin_by_name if name != 'fabric']
     while left:
         shown = await asyncio.to_thread(_generations, system, left)
         left = [name for name, found in shown.items() if found < generation]
@@ -38,16 +37,7 @@
 
 
 def _generations(system: cluster.Cluster, names: list[str]) -> dict[str, int]:
-    return {
-        name: json.loads(system.get(name, '/status'))['generation'] for name in names
-    }
-
-
-def _calls(system: cluster.Cluster) -> dict[str, int]:
-    system.admin_by_name['backend'] = system.platform
-    counted: dict[str, int] = json.loads(system.get('backend', '/admin/calls'))
-    system.admin_by_name.pop('backend')
-    return counted
+    return {name: system.status(name)['generation'] for name in names}
 
 
 async def _measure(system: cluster.Cluster) -> dict[str, float]:
@@ -58,9 +48,9 @@
     await operators.apply(service, operators.EMPTY, current, author)
     await _wait_everywhere(system, 1)
 
-    before = _calls(system)
+    before = system.platform_calls()
     await asyncio.sleep(IDLE_SECONDS)
-    after = _calls(system)
+    after = system.platform_calls()
     processes = len(system.process_by_name)
     idle = sum(after.values()) - sum(before.values())
 
@@ -81,7 +71,7 @@
         seconds = time.monotonic() - start
         taken.record(seconds)
         longest = max(longest, seconds)
-    changed = _calls(system)
+    changed = system.platform_calls()
     return {
         'changes': CHANGES,
         'p50_seconds': taken.quantile(0.5),
--- a/src/egretjunction/cli.py
+++ b/src/egretjunction/cli.py
@@ -16,12 +16,16 @@
 from egretjunction import operators
 from egretjunction import settings
 
+REPORT_PAGE = pathlib.Path('report.html')
+
 app = typer.Typer(
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
     help='A layer-4 load balancer that keeps every flow with its backend server.',
 )
+
+
 standin_app = typer.Typer(no_args_is_help=True, help='Run a stand-in, for tests only.')
 app.add_typer(standin_app, name='standin')
 app.add_typer(_config_cli.app, name='config')
@@ -96,6 +100,32 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def report(
+    path: typing.Annotated[pathlib.Path, typer.Argument(help='JSON file of a run.')],
+    output: typing.Annotated[
+        pathlib.Path,
+        typer.Option(help='Where to write the page.'),
+    ] = REPORT_PAGE,
+) -> None:
+    """Render a run of the demo as one HTML page with plots."""
+    from egretjunction import demo as runner
+    from egretjunction import reports
+
+    try:
+        result = msgspec.json.decode(path.read_bytes(), type=runner.Result)
+    except (OSError, msgspec.DecodeError) as error:
+        raise errors.SettingsError(
+            str(path),
+            '*',
+            '*',
+            str(error),
+            'a file that "egretjunction demo --report" has written',
+        ) from error
+    output.write_text(reports.render(result), 'utf-8')
+    sys.stdout.write(f'{output}\n')
+
+
 async def _run_daemon(kind: typing.Any, given: typing.Any) -> None:
     await kind(given).run()
 
--- a/src/egretjunction/demo.py
+++ b/src/egretjunction/demo.py
@@ -21,7 +21,6 @@
 from egretjunction.decisions import document
 from egretjunction.standins import cluster
 from egretjunction.standins import customers
-from egretjunction.standins import fabric
 from egretjunction.standins import sizes
 
 SETTLE_SECONDS = 20.0
@@ -119,7 +118,7 @@
     def _is_settled(self) -> bool:
         """Tell whether every entry sees every agent serve."""
         for entry in self._system.data_by_entry:
-            shown = msgspec.json.decode(self._system.get(entry, '/status'))
+            shown = self._system.status(entry)
             for service in self._system.size.services:
                 agents = shown['agents'].get(service.name, {}).values()
                 serving = [each for each in agents if each['state'] == 'serving']
@@ -148,15 +147,10 @@
         old = 'entry-1'
         system.send_signal(old, signal.SIGTERM)
         self._note(crowd, f'{old} leaves')
-        live = [data for name, data in system.data_by_entry.items() if name != old]
-        conditions = fabric.Conditions(
-            entries=[str(data) for data in live],
-            delay_seconds=system.size.delay_seconds,
-        )
         await asyncio.sleep(FABRIC_NOTICE_SECONDS)
-        address = system.admin_by_name['fabric']
-        body = msgspec.json.encode(conditions)
-        await asyncio.to_thread(system.post, address, '/conditions', body)
+        live = [name for name in system.data_by_entry if name != old]
+        delay = system.size.delay_seconds
+        await asyncio.to_thread(system.set_fabric, live, delay_seconds=delay)
 
     async def _replace_server(self, crowd: customers.Load) -> None:
         system = self._system
@@ -181,8 +175,9 @@
 
     def _result(self, crowd: customers.Load) -> Result:
         runs: collections.Counter[str] = collections.Counter()
-        for address in self._system.backend_by_server.values():
-            runs.update(read_runs(self._system, address))
+        for server in self._system.backend_by_server:
+            with contextlib.suppress(OSError):
+                runs.update(self._system.record_of(server)['runs'])
         samples = crowd.samples
         return Result(
             user=self._system.size.user,
@@ -262,19 +257,6 @@
     ]
 
 
-def read_runs(
-    system: cluster.Cluster,
-    address: typing.Any,
-) -> collections.Counter[str]:
-    """Return how often a backend server ran each request; none if it has ended."""
-    system.admin_by_name['backend'] = address
-    with contextlib.suppress(OSError):
-        return collections.Counter(
-            msgspec.json.decode(system.get('backend', '/admin/runs'))['runs'],
-        )
-    return collections.Counter()
-
-
 def _latencies(
     samples: typing.Sequence[customers.Sample],
 ) -> dict[str, dict[str, float]]:
--- a/src/egretjunction/reports.py
+++ b/src/egretjunction/reports.py
@@ -4,6 +4,7 @@
 import html
 import typing
 
+import msgspec
 import plotly.graph_objects
 import plotly.subplots
 
@@ -54,11 +55,12 @@
 
 
 def _totals(result: demo.Result) -> str:
-    rows = ''.join(
-        f'<tr><td>{name.replace("_", " ")}</td><td>{getattr(result.totals, name)}</td></tr>'
-        for name in result.totals.__struct_fields__
+    counted = msgspec.structs.asdict(result.totals)
+    rows = (
+        f'<tr><td>{name.replace("_", " ")}</td><td>{count}</td></tr>'
+        for name, count in counted.items()
     )
-    return f'<table>{rows}</table>'
+    return f'<table>{"".join(rows)}</table>'
 
 
 def _load_traces(
--- a/src/egretjunction/standins/cluster.py
+++ b/src/egretjunction/standins/cluster.py
@@ -22,6 +22,7 @@
 HOST = '127.0.0.1'
 START_SECONDS = 30.0
 STOP_SECONDS = 20.0
+CALL_SECONDS = 2.0
 POLL_SECONDS = 0.05
 KEY_BYTES = 16
 
@@ -86,6 +87,7 @@
     def start(self) -> None:
         """Start every process and wait until each one answers."""
         self.start_platform()
+        self.wait_for(['platform'])
         names = [f'entry-{number + 1}' for number in range(self.size.entries)]
         for number, name in enumerate(names):
             self.start_entry(name, self.domain(number))
@@ -217,24 +219,45 @@
         :raises TimeoutError: when it does not.
         """
         deadline = time.monotonic() + START_SECONDS
-        while msgspec.json.decode(self.get(name, '/status'))['state'] != state:
+        while self.status(name)['state'] != state:
             if time.monotonic() > deadline:
                 raise TimeoutError(f'{name} is not {state}; see its log')
             time.sleep(POLL_SECONDS)
 
     def get(self, name: str, path: str) -> bytes:
         """Return what an admin endpoint shows."""
-        url = f'http://{self.admin_by_name[name]}{path}'
-        with urllib.request.urlopen(url, timeout=2) as response:
-            return response.read()
+        return _read(self.admin_by_name[name], path)
 
     def post(self, address: addresses.Address, path: str, body: bytes) -> None:
         """Send a command to a stand-in or daemon."""
         url = f'http://{address}{path}'
         request = urllib.request.Request(url, body, method='POST')
-        with urllib.request.urlopen(request, timeout=2):
+        with urllib.request.urlopen(request, timeout=CALL_SECONDS):
             return
 
+    def status(self, name: str) -> dict[str, typing.Any]:
+        """Return what a daemon shows of itself."""
+        return msgspec.json.decode(self.get(name, '/status'))
+
+    def record_of(self, server: str) -> dict[str, typing.Any]:
+        """Return what a backend server stand-in has run and runs now."""
+        return _read_json(self.backend_by_server[server], '/admin/runs')
+
+    def behave(self, server: str, **behaviour: object) -> None:
+        """Change what a backend server stand-in does."""
+        body = msgspec.json.encode(behaviour)
+        self.post(self.backend_by_server[server], '/admin/behaviour', body)
+
+    def set_fabric(self, entries: typing.Iterable[str], **conditions: float) -> None:
+        """Change the entries that the fabric sprays over, and its conditions."""
+        listed = [str(self.data_by_entry[name]) for name in entries]
+        body = msgspec.json.encode({'entries': listed, **conditions})
+        self.post(self.admin_by_name['fabric'], '/conditions', body)
+
+    def platform_calls(self) -> dict[str, int]:
+        """Return how many calls the platform stand-in has had, by kind."""
+        return _read_json(self.platform, '/admin/calls')
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.process_by_name[name].send_signal(number)
@@ -257,8 +280,8 @@
         process = self.process_by_name.get(name)
         if process is not None and process.poll() is not None:
             raise TimeoutError(f'{name} ended with code {process.returncode}')
-        if name == 'fabric':
-            address = self.admin_by_name[name]
+        if name in {'fabric', 'platform'}:
+            address = self.admin_by_name.get(name, self.platform)
             with socket.socket() as probe:
                 return probe.connect_ex(address) == 0
         try:
@@ -295,6 +318,16 @@
         log.close()
 
 
+def _read(address: addresses.Address, path: str) -> bytes:
+    url = f'http://{address}{path}'
+    with urllib.request.urlopen(url, timeout=CALL_SECONDS) as response:
+        return response.read()
+
+
+def _read_json(address: addresses.Address, path: str) -> typing.Any:
+    return msgspec.json.decode(_read(address, path))
+
+
 def _joined(listed: typing.Iterable[object]) -> str:
     return ', '.join(str(each) for each in listed)
 
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -2,11 +2,8 @@
 
 import asyncio
 import contextlib
-import json
 import time
 
-import msgspec
-
 from egretjunction import caller
 from egretjunction import operators
 from egretjunction import platform
@@ -47,7 +44,7 @@
 
 def _sees_all(system):
     for entry in system.data_by_entry:
-        shown = status(system, entry)['agents']
+        shown = system.status(entry)['agents']
         for service in SIZE.services:
             states = [each['state'] for each in shown.get(service.name, {}).values()]
             if states.count('serving') < service.servers:
@@ -55,11 +52,6 @@
     return True
 
 
-def status(system, name):
-    """Return what a daemon shows of itself."""
-    return json.loads(system.get(name, '/status'))
-
-
 def figure(system, name, metric):
     """Return the sum of one figure of a daemon, 0 when it is not there."""
     found = 0.0
@@ -94,15 +86,3 @@
         str(system.authority_file),
         1,
     )
-
-
-def command(system, server, **behaviour):
-    """Change what a backend server stand-in does."""
-    body = msgspec.json.encode(behaviour)
-    system.post(system.backend_by_server[server], '/admin/behaviour', body)
-
-
-def runs(system, server):
-    """Return what a backend server stand-in has run."""
-    system.admin_by_name['backend'] = system.backend_by_server[server]
-    return json.loads(system.get('backend', '/admin/runs'))
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -4,11 +4,9 @@
 import json
 import signal
 
-import msgspec
 import pytest
 
 from egretjunction import verdicts
-from egretjunction.standins import fabric
 from tests import systems
 
 SERVERS = ('bookings-1', 'bookings-2')
@@ -49,7 +47,7 @@
         found.extend(
             server
             for server in SERVERS
-            if request_id in systems.runs(system, server)['runs']
+            if request_id in system.record_of(server)['runs']
         )
         return bool(found)
 
@@ -57,18 +55,12 @@
     return found[0]
 
 
-def _set_entries(system, names):
-    entries = [str(system.data_by_entry[name]) for name in names]
-    conditions = msgspec.json.encode(fabric.Conditions(entries=entries))
-    system.post(system.admin_by_name['fabric'], '/conditions', conditions)
-
-
 @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGKILL])
 def test_feed_goes_on_when_an_entry_leaves_or_dies(system, number):
     def lose_entry():
         system.send_signal('entry-1', number)
         if number == signal.SIGKILL:
-            _set_entries(system, ['entry-2'])
+            system.set_fabric(['entry-2'])
 
     _check_whole(_patient(_collect(systems.customer(system), 14, 4, lose_entry)), 14)
 
@@ -123,7 +115,7 @@
         async for update in customer.feed('/feed'):
             seen.append(update.event_id)
             if process is None:
-                holders = [s for s in SERVERS if systems.runs(system, s)['feeds']]
+                holders = [s for s in SERVERS if system.record_of(s)['feeds']]
                 process = system.process_by_name[f'agent-{holders[0]}']
                 process.send_signal(signal.SIGTERM)
             elif process.poll() is not None:
@@ -136,18 +128,18 @@
 
 
 def test_backend_server_that_says_it_drains_gets_no_new_work(system):
-    systems.command(system, 'bookings-1', is_draining=True)
+    system.behave('bookings-1', is_draining=True)
     entries = list(system.data_by_entry)
 
     def is_left_out():
         for entry in entries:
-            shown = systems.status(system, entry)['agents']['bookings']
+            shown = system.status(entry)['agents']['bookings']
             if shown.get('bookings-1', {}).get('state') == 'serving':
                 return False
         return True
 
     systems.wait_until(is_left_out)
-    before = sum(systems.runs(system, 'bookings-1')['runs'].values())
+    before = sum(system.record_of('bookings-1')['runs'].values())
 
     async def run():
         for _ in range(8):
@@ -157,7 +149,7 @@
             await customer.close()
 
     _patient(run())
-    assert sum(systems.runs(system, 'bookings-1')['runs'].values()) == before
+    assert sum(system.record_of('bookings-1')['runs'].values()) == before
 
 
 @pytest.mark.parametrize('process', ['agent', 'backend'])
@@ -182,7 +174,7 @@
     assert outcome.verdict is verdicts.Verdict.MAY_HAVE_RUN
     assert outcome.attempts == 1
     (other,) = set(SERVERS) - {server}
-    assert 'once' not in systems.runs(system, other)['runs']
+    assert 'once' not in system.record_of(other)['runs']
 
 
 def test_new_bookings_avoid_a_dead_server_at_once(system):
@@ -217,8 +209,8 @@
     system.start_entry('entry-3', 'domain-1')
     system.wait_for(['entry-3'])
     system.wait_for_state('entry-3', 'serving')
-    assert systems.status(system, 'entry-3')['generation'] == 1
-    _set_entries(system, ['entry-3'])
+    assert system.status('entry-3')['generation'] == 1
+    system.set_fabric(['entry-3'])
     assert _patient(run()).status == 200
 
 
@@ -235,9 +227,9 @@
         await customer.close()
         return outcome
 
-    _set_entries(system, ['entry-3'])
+    system.set_fabric(['entry-3'])
     assert _patient(run()).verdict is verdicts.Verdict.NOT_RUN
-    assert systems.status(system, 'entry-3')['state'] == 'learning'
+    assert system.status('entry-3')['state'] == 'learning'
 
 
 def test_change_is_in_force_everywhere_and_removal_drains(system):
@@ -257,7 +249,7 @@
     _check_whole(seen, 24)
     names = [*system.data_by_entry, 'agent-bookings-2', 'agent-surveys-1']
     systems.wait_until(
-        lambda: all(systems.status(system, name)['generation'] == 2 for name in names),
+        lambda: all(system.status(name)['generation'] == 2 for name in names),
     )
     process = system.process_by_name['agent-bookings-1']
     systems.wait_until(lambda: process.poll() is not None)
@@ -267,7 +259,7 @@
     system.send_signal('agent-surveys-1', signal.SIGSTOP)
 
     def state():
-        shown = systems.status(system, 'entry-1')['agents']['surveys']
+        shown = system.status('entry-1')['agents']['surveys']
         return shown.get('surveys-1', {}).get('state')
 
     systems.wait_until(lambda: state() != 'serving')
@@ -276,17 +268,14 @@
 
 
 def test_lossy_reordering_fabric_breaks_nothing(system):
-    entries = [str(each) for each in system.data_by_entry.values()]
-    conditions = fabric.Conditions(
-        entries=entries,
+    system.set_fabric(
+        system.data_by_entry,
         loss=0.05,
         duplication=0.05,
         reordering=0.1,
         delay_seconds=0.002,
         jitter_seconds=0.005,
     )
-    address = system.admin_by_name['fabric']
-    system.post(address, '/conditions', msgspec.json.encode(conditions))
 
     async def run():
         customers = [systems.customer(system) for _ in range(10)]
@@ -303,4 +292,4 @@
     outcomes = _patient(run())
     assert [each.status for each in outcomes] == [200] * 10
     for server in SERVERS:
-        assert set(systems.runs(system, server)['runs'].values()) <= {1}
+        assert set(system.record_of(server)['runs'].values()) <= {1}
