--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/agent.py
@@ -1,6 +1,7 @@
 """The agent daemon: owns flows and runs their requests on one backend server."""
 
 import asyncio
+import datetime
 import signal
 import time
 
@@ -61,6 +62,12 @@
         self._given = given
         self._clock = time.monotonic
         self._key = settings.read_key(given.key_file)
+        expires = settings.check_certificate(
+            given.certificate_file,
+            given.private_key_file,
+            datetime.datetime.now(datetime.UTC),
+        )
+        self._expires_at = expires.timestamp()
         self._incarnation = incarnations.from_clock(time.time())
         self._flows = _flow_table.FlowTable(
             self._key,
@@ -166,6 +173,10 @@
 
     def _register_figures(self) -> None:
         self._figures.gauge('flows', lambda: len(self._flows))
+        self._figures.gauge(
+            'certificate_seconds_left',
+            lambda: self._expires_at - time.time(),
+        )
         self._figures.gauge('requests_running', lambda: self._dispatcher.running)
         self._figures.gauge('requests_waiting', lambda: self._dispatcher.waiting)
         self._figures.gauge('datagrams_unsent', lambda: self._data.dropped)
--- a/src/egretjunction/reports.py
+++ b/src/egretjunction/reports.py
@@ -38,6 +38,7 @@
             x=event.at,
             line_dash='dot',
             annotation_text=event.text,
+            annotation_textangle=-90,
             row=1,
             col=1,
         )
--- a/src/egretjunction/settings.py
+++ b/src/egretjunction/settings.py
@@ -1,10 +1,13 @@
 """Checked settings of each process, read from INI files."""
 
+import datetime
 import pathlib
 import types
 import typing
 
 import msgspec
+from cryptography import x509
+from cryptography.hazmat.primitives import serialization
 
 from egretjunction import _ini
 from egretjunction import addresses
@@ -177,6 +180,46 @@
         ) from error
 
 
+def check_certificate(
+    certificate_file: str,
+    private_key_file: str,
+    now: datetime.datetime,
+) -> datetime.datetime:
+    """Check that a certificate is valid and belongs to a private key.
+
+    :param certificate_file: PEM chain, the service's certificate first.
+    :param private_key_file: PEM key.
+    :param now: the present time, with a time zone.
+    :return: when the certificate expires.
+    :raises errors.SettingsError: when either file cannot be used.
+    """
+    chain_text = read_text(certificate_file)
+    key_text = read_text(private_key_file)
+    try:
+        certificate = x509.load_pem_x509_certificate(chain_text.encode())
+    except ValueError as error:
+        allowed = 'a PEM certificate'
+        raise _wrong_file(certificate_file, str(error), allowed) from error
+    try:
+        key = serialization.load_pem_private_key(key_text.encode(), None)
+    except (ValueError, TypeError) as error:
+        allowed = 'a PEM private key without a password'
+        raise _wrong_file(private_key_file, str(error), allowed) from error
+    if certificate.public_key() != key.public_key():
+        allowed = f'the private key of {certificate_file}'
+        raise _wrong_file(private_key_file, 'another key', allowed)
+    expires = certificate.not_valid_after_utc
+    if not certificate.not_valid_before_utc <= now < expires:
+        allowed = 'a certificate that is valid now'
+        given = f'valid from {certificate.not_valid_before_utc} to {expires}'
+        raise _wrong_file(certificate_file, given, allowed)
+    return expires
+
+
+def _wrong_file(path: str, given: str, allowed: str) -> errors.SettingsError:
+    return errors.SettingsError(path, '*', '*', given, allowed)
+
+
 def read_key(path: str) -> bytes:
     """Return the shared secret in a key file.
 
