--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bench import reference
 from egretjunction import cli
 from egretjunction import errors
 from egretjunction import settings
@@ -121,3 +122,7 @@
     certificates.write(tmp_path, ['a'], days=-1)
     with pytest.raises(errors.SettingsError, match='valid now'):
         _check(tmp_path)
+
+
+def test_settings_reference_in_the_docs_is_that_of_the_code():
+    assert reference.reference() in reference.PAGE.read_text('utf-8')
