A header that HTTP/1 does not allow is refused; cancelled uploads are reset

A request that was cancelled while its body was being sent was not reset, because the caller knew its stream only after the body: starting a request and sending its body are two steps now. A failed handshake no longer leaves an exception that nobody retrieves.

--- a/src/egretjunction/_caller_flow.py
+++ b/src/egretjunction/_caller_flow.py
@@ -145,20 +145,13 @@
         """Tell whether no answer is awaited."""
         return not self._answer_by_stream
 
-    async def send(
-        self,
-        pairs: _headers.Pairs,
-        body: bytes,
-        sent: list[Answer],
-    ) -> tuple[int, Answer]:
-        """Send a request.
+    def start(self, pairs: _headers.Pairs, *, has_body: bool) -> tuple[int, Answer]:
+        """Send the header fields of a request.
 
         :param pairs: header fields.
-        :param body: the whole body.
-        :param sent: gets the answer as soon as the request may reach the server,
-            so that a caller that stops waiting knows its verdict.
+        :param has_body: whether ``send_body`` follows.
         :return: number of the stream and the answer to wait for.
-        :raises FlowError: when the connection ended while the body was sent.
+        :raises FlowError: with NOT_RUN, when the connection takes no requests.
         """
         if not self.is_usable:
             raise FlowError('connection is closing', verdicts.Verdict.NOT_RUN)
@@ -166,17 +159,24 @@
         answer = Answer()
         self._answer_by_stream[stream_id] = answer
         answer.is_sent = True
-        sent.append(answer)
-        self.http.send_headers(stream_id, pairs, end_stream=not body)
+        self.http.send_headers(stream_id, pairs, end_stream=not has_body)
         self.transmit()
+        return stream_id, answer
+
+    async def send_body(self, stream_id: int, answer: Answer, body: bytes) -> None:
+        """Send the body of a request, as fast as the server takes it.
+
+        :param stream_id: number of the stream.
+        :param answer: its answer; one that comes early ends the sending.
+        :param body: the whole body.
+        """
         for start in range(0, len(body), CHUNK_BYTES):
             if answer.is_over or not _quic.can_send(self._quic, stream_id):
-                break
+                return
             part = body[start : start + CHUNK_BYTES]
             self.http.send_data(stream_id, part, start + CHUNK_BYTES >= len(body))
             self.transmit()
             await self._drain(stream_id, answer)
-        return stream_id, answer
 
     async def _drain(self, stream_id: int, answer: Answer) -> None:
         while (
@@ -186,6 +186,10 @@
             self._moved.clear()
             await self._moved.wait()
 
+    def stop_connecting(self) -> None:
+        """Forget that somebody waits for the handshake."""
+        self._connected_waiter = None
+
     def probe(self, patience_seconds: float) -> None:
         """Send a packet that the server will acknowledge.
 
@@ -296,6 +300,7 @@
     try:
         await asyncio.wait_for(flow.wait_connected(), patience_seconds)
     except (TimeoutError, ConnectionError) as error:
+        flow.stop_connecting()
         close(flow)
         message = f'no connection to {address}'
         raise FlowError(message, verdicts.Verdict.NOT_RUN) from error
--- a/src/egretjunction/_requests.py
+++ b/src/egretjunction/_requests.py
@@ -19,6 +19,7 @@
 from egretjunction.decisions import health
 from egretjunction.decisions import policy
 
+HTTP_BAD_REQUEST = 400
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -75,10 +76,14 @@
         service: document.Service | None,
     ) -> None:
         """Take a new request: run it, queue it or shed it."""
-        pseudo, headers = _headers.to_http1(stream.pairs)
         if service is None:
             self._answer_soon(stream, HTTP_UNAVAILABLE, 'service is not configured')
             return
+        try:
+            pseudo, headers = _headers.to_http1(stream.pairs)
+        except httputil.HTTPInputError as error:
+            self._answer_soon(stream, HTTP_BAD_REQUEST, str(error))
+            return
         length = headers.get('Content-Length', '')
         treatment = policy.treatment(
             service,
--- a/src/egretjunction/caller.py
+++ b/src/egretjunction/caller.py
@@ -259,8 +259,10 @@
         left_ms = int((call.deadline - time.monotonic()) * _headers.MS_PER_SECOND)
         fields = {**call.headers, _headers.DEADLINE_MS: str(max(1, left_ms))}
         pairs = self._pairs(call.method, call.path, fields, len(call.body))
-        stream_id, answer = await flow.send(pairs, call.body, sent)
+        stream_id, answer = flow.start(pairs, has_body=bool(call.body))
+        sent.append(answer)
         try:
+            await flow.send_body(stream_id, answer, call.body)
             patience = SILENT_SECONDS if call.is_idempotent else float('inf')
             await _wait_whole(flow, answer, patience)
         finally:
@@ -329,7 +331,7 @@
             fields['last-event-id'] = str(last_id)
         try:
             pairs = self._pairs('GET', path, fields, 0)
-            stream_id, answer = await flow.send(pairs, b'', [])
+            stream_id, answer = flow.start(pairs, has_body=False)
             async for update in _updates(flow, answer):
                 yield update
             flow.cancel(stream_id)
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -117,6 +117,26 @@
     assert after - before < size / 4
 
 
+def test_header_that_http1_does_not_allow_is_refused_as_not_run(system):
+    strange = {'x-strange': 'a\x01b'}
+    outcome = _request(system, 'GET', '/slots?work_ms=5', headers=strange)
+    assert outcome.verdict is verdicts.Verdict.NOT_RUN
+    assert _request(system, 'GET', '/slots?work_ms=5').status == 200
+
+
+def test_deadline_in_the_middle_of_an_upload_frees_the_slot(system):
+    outcome = _request(
+        system,
+        'POST',
+        '/photos?work_ms=10',
+        'surveys',
+        body=bytes(60_000_000),
+        deadline_seconds=1,
+    )
+    assert outcome.verdict is not verdicts.Verdict.RAN
+    systems.wait_until(lambda: not system.record_of('surveys-1')['running'])
+
+
 def test_cancelled_request_frees_its_slot_at_the_backend_server(system):
     async def run():
         customer = systems.customer(system, 'surveys')
