Members that are gone are forgotten for good

Thinking through a region that is cut off for longer than gone records are kept: its entries bring back records of dead members, which nobody watches any more, so they would stay. A home entry now watches a member that others tell it of, and that an unknown member is gone is no news. Tried and dropped: watching after every merge; an entry that is cut off then thinks it is home to all and calls living members gone, which the test of a healed cut showed.

--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -204,7 +204,11 @@
         return [effects.SendTo(peer, message) for peer in self._peers()]
 
     def _merge(self, member: membership.Member, now: float) -> list[effects.Effect]:
-        """Take one record in; a wrong record about this entry is refuted."""
+        """Take one record in; a wrong record about this entry is refuted.
+
+        That an unknown member is gone is no news. Taking it in would let entries
+        give each other back for ever what they have forgotten.
+        """
         if member.name == self.me.name:
             if member.version > self.me.version:
                 incarnation = max(member.incarnation, self.me.incarnation)
@@ -212,9 +216,12 @@
                 self._renew(self.me.state, member.sequence + 1, now)
             return []
         before = self.view.get(member.name)
-        if not self.view.merge(member, now):
+        is_gone = member.state is membership.State.GONE
+        if (before is None and is_gone) or not self.view.merge(member, now):
             return []
         self._rumors.add(member.name)
+        if before is None:
+            self._watch_if_home(member, now)
         if before is not None and before.state is member.state:
             return []
         return [
@@ -226,6 +233,16 @@
             ),
         ]
 
+    def _watch_if_home(self, member: membership.Member, now: float) -> None:
+        """Expect a member that others told of to announce itself here.
+
+        Otherwise a record of a dead member that came back from a cut-off entry,
+        after the others had forgotten it, would stay for ever.
+        """
+        is_home = self.me in self.view.homes(member.name)
+        if is_home and member.state is not membership.State.GONE:
+            self.duty.watch(member.name, now)
+
     def _merge_all(
         self,
         records: typing.Iterable[messages.Record],
--- a/src/egretjunction/decisions/membership.py
+++ b/src/egretjunction/decisions/membership.py
@@ -291,6 +291,10 @@
         """Note an announcement."""
         self._heard_at_by_name[name] = now
 
+    def watch(self, name: str, now: float) -> None:
+        """Expect a member to announce itself from now on."""
+        self._heard_at_by_name.setdefault(name, now)
+
     def resumed(self, now: float) -> None:
         """Grant every agent a full period after this process was paused."""
         for name in self._heard_at_by_name:
--- a/tests/decisions/test_control.py
+++ b/tests/decisions/test_control.py
@@ -200,3 +200,17 @@
     network.run(10)
     chosen = [entry for entry in entries if entry.is_representative]
     assert len(chosen) == 3 * entry_control.REPRESENTATIVES_PER_DOMAIN
+
+
+def test_a_forgotten_member_that_a_cut_off_entry_brings_back_does_not_stay():
+    network, entries, agents = _system(entries=3, agents=3)
+    lost = agents[0]
+    old = entries[0].view.get(lost.me.name)
+    network.stop(lost)
+    network.run(membership.FORGET_GONE_SECONDS + 30)
+    assert all(entry.view.get(old.name) is None for entry in entries)
+    network.apply(entries[0], entries[0]._merge(old, network.now))  # noqa: SLF001
+    network.run(5)
+    assert any(old.name in _serving(entry) for entry in entries)
+    network.run(membership.GONE_AFTER_SECONDS + 10)
+    assert all(old.name not in _serving(entry) for entry in entries)
