--- a/src/egretjunction/standins/backend.py
+++ b/src/egretjunction/standins/backend.py
@@ -57,6 +57,7 @@
         self.behaviour = Behaviour()
         self.running = 0
         self.feeds = 0
+        self.connections = 0
         self.runs_by_request: collections.Counter[str] = collections.Counter()
         self.slot_seconds = float(0)
         self.most_running = 0
@@ -100,13 +101,29 @@
 class _Handler(web.RequestHandler):
     def initialize(self, backend: Backend) -> None:
         self.backend = backend
+        self.backend.connections += 1
         self.is_gone = False
         self.gone = asyncio.Event()
 
+    @property
+    def is_over_limit(self) -> bool:
+        """Tell whether this connection is one too many."""
+        return self.backend.connections > self.backend.given.max_connections
+
+    def on_finish(self) -> None:
+        self.backend.connections -= 1
+
     def on_connection_close(self) -> None:
         self.is_gone = True
         self.gone.set()
 
+    def shed(self) -> None:
+        """Refuse the request without running it."""
+        self.set_status(HTTP_UNAVAILABLE)
+        self.set_header('Retry-After', '1')
+        self.set_header(_headers.VERDICT, verdicts.Verdict.NOT_RUN.value)
+        self.finish()
+
 
 class _Health(_Handler):
     def get(self) -> None:
@@ -145,9 +162,10 @@
         self.received = 0
         self.hash = hashlib.sha256()
         self.request.connection.set_max_body_size(MAX_BODY_BYTES)
-        self.holds_slot = self.backend.running < self.backend.given.slots
+        has_slot = self.backend.running < self.backend.given.slots
+        self.holds_slot = has_slot and not self.is_over_limit
         if not self.holds_slot:
-            self._shed()
+            self.shed()
             return
         self.started = time.monotonic()
         self.backend.running += 1
@@ -174,6 +192,7 @@
     delete = _work
 
     def on_finish(self) -> None:
+        super().on_finish()
         self._free()
 
     def on_connection_close(self) -> None:
@@ -186,12 +205,6 @@
             self.backend.running -= 1
             self.backend.slot_seconds += time.monotonic() - self.started
 
-    def _shed(self) -> None:
-        self.set_status(HTTP_UNAVAILABLE)
-        self.set_header('Retry-After', '1')
-        self.set_header(_headers.VERDICT, verdicts.Verdict.NOT_RUN.value)
-        self.finish()
-
     def _answer(self) -> None:
         if self.backend.behaviour.cut_answers > 0:
             self.backend.behaviour.cut_answers -= 1
@@ -215,6 +228,9 @@
 
     async def get(self, _path: str) -> None:
         given = self.backend.given
+        if self.is_over_limit:
+            self.shed()
+            return
         self.set_header('Content-Type', 'text/event-stream')
         last = self.request.headers.get('Last-Event-ID', '')
         wanted = int(last) + 1 if last.isdigit() else self._latest() + 1
