--- a/src/egretjunction/caller.py
+++ b/src/egretjunction/caller.py
@@ -10,6 +10,7 @@
 from egretjunction import _headers
 from egretjunction import _quic
 from egretjunction import addresses
+from egretjunction import feeds
 from egretjunction import verdicts
 from egretjunction.decisions import retries
 
@@ -17,12 +18,7 @@
 FEED_RETRY_SECONDS = 0.2
 PROBE_SECONDS = 0.7
 SILENT_SECONDS = 2.5
-FEED_PROBE_SECONDS = 5.0
-FEED_SILENT_SECONDS = 12.0
-FEED_CONNECT_SECONDS = 5.0
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
-HTTP_OK = 200
-HTTP_SERVER_ERROR = 500
 
 
 class Outcome:
@@ -69,20 +65,6 @@
         return self.verdict is verdicts.Verdict.RAN and bool(self.status)
 
 
-class Update:
-    """One event of a feed.
-
-    :param event_id: the server's number of the event.
-    :param text: its data.
-    """
-
-    __slots__ = ('event_id', 'text')
-
-    def __init__(self, event_id: int, text: str) -> None:
-        self.event_id = event_id
-        self.text = text
-
-
 class _Call:
     """The parts of a request that stay the same for each attempt."""
 
@@ -176,7 +158,9 @@
         outcome.seconds = time.monotonic() - started
         return outcome
 
-    async def feed(self, path: str, last_id: int = -1) -> typing.AsyncIterator[Update]:
+    async def feed(
+        self, path: str, last_id: int = -1
+    ) -> typing.AsyncIterator[feeds.Update]:
         """Yield the updates of a feed, each once and in order, until closed.
 
         The feed moves to another backend server when its own one leaves, and
@@ -199,7 +183,7 @@
         path: str,
         last_id: int,
         attempts: int,
-    ) -> typing.AsyncIterator[Update]:
+    ) -> typing.AsyncIterator[feeds.Update]:
         """Yield new updates from one connection until it moves or breaks."""
         try:
             async for update in self._feed_once(path, last_id, attempts):
@@ -323,7 +307,7 @@
         path: str,
         last_id: int,
         attempts: int,
-    ) -> typing.AsyncIterator[Update]:
+    ) -> typing.AsyncIterator[feeds.Update]:
         """Yield updates from one connection until its server leaves."""
         flow = await self._connect(retries.handshake_seconds(max(1, attempts)))
         fields = {'accept': 'text/event-stream'}
@@ -332,52 +316,13 @@
         try:
             pairs = self._pairs('GET', path, fields, 0)
             stream_id, answer = flow.start(pairs, has_body=False)
-            async for update in _updates(flow, answer):
+            async for update in feeds.updates(flow, answer):
                 yield update
             flow.cancel(stream_id)
         finally:
             _caller_flow.close(flow)
 
 
-async def _updates(
-    flow: _caller_flow.CallerFlow,
-    answer: _caller_flow.Answer,
-) -> typing.AsyncIterator[Update]:
-    """Parse server-sent events until the server asks the caller to move."""
-    while not answer.is_complete and not flow.is_leaving:
-        for update in _take_events(answer):
-            yield update
-        await _wait_for_either(answer, flow)
-        if flow.silent_seconds > FEED_PROBE_SECONDS:
-            flow.probe(FEED_SILENT_SECONDS)
-        if answer.status >= HTTP_SERVER_ERROR:
-            raise _caller_flow.FlowError('feed was refused', answer.verdict)
-    for update in _take_events(answer):
-        yield update
-
-
-async def _wait_for_either(
-    answer: _caller_flow.Answer,
-    flow: _caller_flow.CallerFlow,
-) -> None:
-    """Wait a while for more of the answer or for the server's wish to leave."""
-    waits = [
-        asyncio.create_task(answer.wait()),
-        asyncio.create_task(flow.left.wait()),
-    ]
-    try:
-        await asyncio.wait(
-            waits,
-            timeout=FEED_PROBE_SECONDS,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-    finally:
-        for each in waits:
-            each.cancel()
-    if waits[0].done() and not waits[0].cancelled():
-        waits[0].result()
-
-
 async def _wait_whole(
     flow: _caller_flow.CallerFlow,
     answer: _caller_flow.Answer,
@@ -406,20 +351,6 @@
     _caller_flow.close(flow)
 
 
-def _take_events(answer: _caller_flow.Answer) -> list[Update]:
-    """Remove the whole events from the front of a body."""
-    taken = []
-    while True:
-        end = answer.body.find(b'\n\n')
-        if end < 0:
-            return taken
-        block = bytes(answer.body[:end]).decode('utf-8', 'replace')
-        answer.drop_body(end + 2)
-        fields = dict(line.split(': ', 1) for line in block.split('\n') if ': ' in line)
-        if fields.get('id', '').isdigit():
-            taken.append(Update(int(fields['id']), fields.get('data', '')))
-
-
 def _retry_after(outcome: Outcome) -> float:
     """Return the seconds that an answer asked to wait, 0 when it did not."""
     milliseconds = outcome.headers.get(_headers.RETRY_AFTER_MS, '')
--- /dev/null
+++ b/tests/test_feeds.py
@@ -0,0 +1,19 @@
+"""Updates of a feed are read however they are cut, and only whole ones."""
+
+import pytest
+
+from egretjunction import _caller_flow
+from egretjunction import feeds
+
+STREAM = b'id: 1\ndata: one\n\n: remark\n\nid: x\ndata: odd\n\nid: 2\ndata: a: b\n\n'
+
+
+@pytest.mark.parametrize('size', [1, 3, 7, 200])
+def test_updates_are_found_however_the_stream_is_cut(size):
+    answer = _caller_flow.Answer()
+    found = []
+    for start in range(0, len(STREAM), size):
+        answer.add_body(STREAM[start : start + size])
+        found.extend(feeds._take_events(answer))
+    assert [(each.event_id, each.text) for each in found] == [(1, 'one'), (2, 'a: b')]
+    assert not answer.body
