The first control message of a process waits for its connection

A new entry was ready 5 s after its start in every demo: its first digest was dropped because the connection was not open yet, and the next one is due 5 s later. Messages to a peer that does not listen yet are kept, ten at most. The test failed first (no message within 20 s), and passes.

--- a/src/egretjunction/control.py
+++ b/src/egretjunction/control.py
@@ -13,6 +13,7 @@
 from egretjunction.wire import messages
 
 HIGH_WATER_MARK = 100
+UNSENT_PER_PEER = 10
 IDLE_SECONDS = 60.0
 
 Receive = typing.Callable[[typing.Any], list[effects.Effect]]
@@ -107,7 +108,7 @@
         spoke = self._spoke_by_address.get(address)
         if spoke is None:
             dealer = self._socket(zmq.DEALER)
-            dealer.setsockopt(zmq.IMMEDIATE, 1)
+            dealer.setsockopt(zmq.SNDHWM, UNSENT_PER_PEER)
             dealer.connect(f'tcp://{address}')
             spoke = zmqstream.ZMQStream(dealer)
             spoke.on_recv(lambda frames: self._on_spoke(address, frames))
