--- a/src/egretjunction/standins/customers.py
+++ b/src/egretjunction/standins/customers.py
@@ -93,7 +93,7 @@
         self._call = call
         self._random = random.Random(seed)
         self._started = time.monotonic()
-        self._sessions: set[asyncio.Task[None]] = set()
+        self._visits: set[asyncio.Task[None]] = set()
         self.samples: list[Sample] = []
         self.feeds: list[FeedResult] = []
         self.shed_without_retry = 0
@@ -104,7 +104,7 @@
         return time.monotonic() - self._started
 
     async def run_kind(self, kind: Kind, seconds: float) -> None:
-        """Start sessions of one kind at random times, then wait for them."""
+        """Start visits of one kind at random times, then wait for them."""
         end = time.monotonic() + seconds
         mean_requests = (1 + MAX_REQUESTS_PER_FLOW) / 2
         while True:
@@ -112,15 +112,15 @@
             if time.monotonic() + pause >= end:
                 break
             await asyncio.sleep(pause)
-            session = asyncio.create_task(self._session(kind))
-            self._sessions.add(session)
-            session.add_done_callback(self._sessions.discard)
+            visit = asyncio.create_task(self._visit(kind))
+            self._visits.add(visit)
+            visit.add_done_callback(self._visits.discard)
         await asyncio.sleep(max(0, end - time.monotonic()))
 
     async def finish(self) -> None:
-        """Wait for the sessions that are still open."""
-        while self._sessions:
-            await asyncio.wait(set(self._sessions))
+        """Wait for the visits that are still open."""
+        while self._visits:
+            await asyncio.wait(set(self._visits))
 
     async def run_feed(self, service: str, seconds: float) -> None:
         """Hold one feed open and check that it has no gap and no repeat."""
@@ -142,7 +142,7 @@
     def _customer(self, service: str) -> caller.Caller:
         return self._call(service, self._random.randrange(SEED_RANGE))
 
-    async def _session(self, kind: Kind) -> None:
+    async def _visit(self, kind: Kind) -> None:
         """Open one flow, make a few requests, close it."""
         customer = self._customer(kind.service)
         for number in range(self._random.randint(1, MAX_REQUESTS_PER_FLOW)):
