Names of the platform's keys stand in one place

config/head was named by the entry and by the operators' commands, entries/ by the entry and by the agent; a change of one would have split them in silence. They are constants of the platform client now.

--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/agent.py
@@ -38,7 +38,6 @@
 IDLE_GRACE_SECONDS = 2.0
 LEAVE_SECONDS = 0.5
 QUEUE_LIMIT_BEFORE_CONFIGURED = 1
-ENTRIES_PREFIX = 'entries/'
 
 
 class BackendHealth(msgspec.Struct):
@@ -289,7 +288,7 @@
             if self._control.has_home(self._clock()):
                 continue
             try:
-                items = await service.list_prefix(ENTRIES_PREFIX)
+                items = await service.list_prefix(platform.ENTRIES_PREFIX)
             except errors.PlatformUnavailableError as error:
                 logs.get().warning('registry_unavailable', error=str(error))
                 continue
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/entry.py
@@ -25,8 +25,6 @@
 from egretjunction.decisions import routing
 from egretjunction.wire import packets
 
-HEAD_KEY = 'config/head'
-ENTRIES_PREFIX = 'entries/'
 LEASE_SECONDS = 60.0
 POLL_SECONDS = 60.0
 RETRY_SECONDS = 1.0
@@ -215,8 +213,8 @@
         is_configured = self._control.in_force.generation > 0
         if is_configured and not self._control.is_representative:
             await asyncio.sleep(POLL_SECONDS)
-            return await self._platform.get(HEAD_KEY)
-        return await self._platform.watch(HEAD_KEY, self._head_revision)
+            return await self._platform.get(platform.HEAD_KEY)
+        return await self._platform.watch(platform.HEAD_KEY, self._head_revision)
 
     async def _take_head(self, item: platform.Item) -> None:
         self._head_revision = item.revision
@@ -266,7 +264,7 @@
         if lease and await self._platform.renew_lease(lease):
             return lease
         lease = await self._platform.grant_lease(LEASE_SECONDS)
-        key = ENTRIES_PREFIX + self._given.name
+        key = platform.ENTRIES_PREFIX + self._given.name
         item = await self._platform.get(key)
         await self._platform.put(key, str(self._given.control), item.revision, lease)
         logs.get().info('entry_registered', lease=lease)
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -15,7 +15,6 @@
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 
-HEAD_KEY = 'config/head'
 SNAPSHOT_PREFIX = 'config/snapshot/'
 APPLY_ATTEMPTS = 8
 RETIRE_SECONDS = 1.0
@@ -72,7 +71,7 @@
 
     :raises errors.PlatformUnavailableError: when the service does not answer.
     """
-    item = await service.get(HEAD_KEY)
+    item = await service.get(platform.HEAD_KEY)
     if not item.revision:
         return Accepted(None, 0, EMPTY)
     head = msgspec.json.decode(item.value, type=configuration.Head)
@@ -266,7 +265,7 @@
         head, dropped = configuration.advance(accepted.head, change, key, text)
         encoded = msgspec.json.encode(head).decode()
         try:
-            await self._service.put(HEAD_KEY, encoded, accepted.revision)
+            await self._service.put(platform.HEAD_KEY, encoded, accepted.revision)
         except errors.ConflictError:
             return False
         except errors.NotKnownError:
--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -9,6 +9,8 @@
 
 from egretjunction import errors
 
+HEAD_KEY = 'config/head'
+ENTRIES_PREFIX = 'entries/'
 CALL_SECONDS = 3.0
 WATCH_SECONDS = 30.0
 WATCH_GRACE_SECONDS = 5.0
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,6 +9,7 @@
 
 from egretjunction import errors
 from egretjunction import operators
+from egretjunction import platform
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from tests import stepping
@@ -91,7 +92,7 @@
 
 
 def _until_swap(run):
-    while (run.pending[0], run.pending[1][0]) != ('put', operators.HEAD_KEY):
+    while (run.pending[0], run.pending[1][0]) != ('put', platform.HEAD_KEY):
         run.step()
 
 
@@ -178,7 +179,7 @@
             wanted = _document(booking=100 + number)
             _apply(service, current, wanted).finish()
             current = wanted
-    head = service.item_by_key[operators.HEAD_KEY].value
+    head = service.item_by_key[platform.HEAD_KEY].value
     assert len(head) <= configuration.MAX_RECENT_BYTES + 500
     generations = {change.generation for change in _accepted(service).head.recent}
     exported = {
@@ -202,7 +203,7 @@
 
 def test_snapshot_that_does_not_match_its_digest_is_refused(service):
     head = msgspec.json.decode(
-        service.item_by_key[operators.HEAD_KEY].value,
+        service.item_by_key[platform.HEAD_KEY].value,
         type=configuration.Head,
     )
     service._put(
