--- a/src/egretjunction/_udp.py
+++ b/src/egretjunction/_udp.py
@@ -6,9 +6,9 @@
 from tornado import ioloop
 
 from egretjunction import addresses
-from egretjunction.wire import packets
 
 BATCH_SIZE = 64
+MAX_DATAGRAM_BYTES = 65_535
 BUFFER_BYTES = 4 * 1024 * 1024
 
 Receive = typing.Callable[[bytes, tuple[str, int]], None]
@@ -54,7 +54,7 @@
     def _on_ready(self, _socket: object, _events: int) -> None:
         for _ in range(BATCH_SIZE):
             try:
-                datagram, sender = self._socket.recvfrom(packets.MAX_DATAGRAM_BYTES)
+                datagram, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
             except OSError:
--- /dev/null
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -0,0 +1,476 @@
+"""Flows of one agent that relays: which it holds, which it takes, which it passes."""
+
+import typing
+
+from egretjunction import addresses
+from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_server
+from egretjunction.relay import packets
+from egretjunction.wire import relaying
+
+LOAD_PER_REQUEST = 100  # loads are told in hundredths of a request
+IDLE_FLOW_LOAD = 2  # hundredths: a feed's requests keep a slot busy for about 2 %
+HALF_OPEN_SECONDS = 1.4  # a client gives an unanswered first packet up after 1.4 s
+RESERVED_SECONDS = 0.3  # the request of a new flow follows its handshake at once
+ASK_SECONDS = 0.03  # a server bounces what it does not hold within a millisecond
+CLOSED_SECONDS = 3.0  # late packets of an ended flow still find its record
+IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
+ENTRY_SECONDS = 10.0  # an entry not heard of for this long is told nothing more
+MAX_FLOWS = 20_000
+TOKEN_RANGE = 2**32
+
+
+class _Flow:
+    """One flow at this agent.
+
+    :param server_sequence: the sequence number that its server began with.
+    """
+
+    __slots__ = (
+        'acknowledged',
+        'ended_at',
+        'entry',
+        'is_busy',
+        'is_open',
+        'is_served',
+        'opened_at',
+        'server_sequence',
+        'token',
+        'used_at',
+    )
+
+    def __init__(self, now: float) -> None:
+        self.opened_at = now
+        self.used_at = now
+        self.is_open = False
+        self.is_busy = False
+        self.is_served = False
+        self.ended_at: float | None = None
+        self.server_sequence: int | None = None
+        self.acknowledged = 0
+        self.entry: addresses.Address | None = None
+        self.token = 0
+
+
+class _Question:
+    """A packet that the backend server was asked about."""
+
+    __slots__ = ('entry', 'is_first', 'key', 'packet', 'token', 'until')
+
+    def __init__(
+        self,
+        packet: packets.Packet,
+        entry: addresses.Address,
+        token: int,
+        until: float,
+    ) -> None:
+        self.key = packet.key
+        self.packet = packet.raw
+        self.is_first = packet.is_first
+        self.entry = entry
+        self.token = token
+        self.until = until
+
+
+class RelayAgent:
+    """Decides about each packet and message of one agent.
+
+    :param server: what is known of the backend server.
+    :param codec: reads packets that entries send.
+    """
+
+    def __init__(
+        self,
+        server: relay_server.Server,
+        codec: packets.Codec,
+    ) -> None:
+        self.server = server
+        self.is_leaving = False
+        self.version = 0
+        self.busy = 0
+        self._codec = codec
+        self._tag = relaying.tag_of(server.service)
+        self._flow_by_key: dict[bytes, _Flow] = {}
+        self._question_by_token: dict[int, _Question] = {}
+        self._heard_by_entry: dict[addresses.Address, float] = {}
+        self._token = 0
+        self._told_state = relaying.State.STARTING
+        self._handler_by_kind: dict[type, typing.Any] = {
+            relaying.Deliver: self._on_deliver,
+            relaying.Offer: self._on_offer,
+            relaying.Find: self._on_find,
+            relaying.Ask: self._on_ask,
+            relaying.Ping: self._on_ping,
+        }
+
+    @property
+    def flow_count(self) -> int:
+        """Return how many flows this agent has a record of."""
+        return len(self._flow_by_key)
+
+    def on_message(
+        self,
+        message: typing.Any,
+        entry: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Handle a message of an entry."""
+        handler = self._handler_by_kind.get(type(message))
+        if handler is None:
+            return [effects.Log('message_unexpected', kind=type(message).__name__)]
+        self._heard_by_entry[entry] = now
+        return handler(message, entry, now)
+
+    def on_server_packet(
+        self,
+        packet: packets.Packet,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Handle a packet that the backend server has sent or given back."""
+        self.server.answered(now)
+        if packet.is_bounced:
+            return self._on_bounced(packet, now)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is None:
+            flow = self._adopt(packet.key, now)
+        flow.used_at = now
+        found: list[effects.Effect] = [effects.ToClient(packet.key, packet.raw)]
+        if packet.is_opening and flow.server_sequence is None:
+            flow.server_sequence = packet.sequence
+            if flow.entry is not None:
+                held = relaying.Held(
+                    flow.token, packet.key, packet.sequence, self.status(now)
+                )
+                found.append(effects.Send(flow.entry, held))
+        if packet.data_bytes and flow.is_busy:
+            self._set_busy(flow, is_busy=False)
+        if packet.is_reset or packet.is_last:
+            self._end(flow, now)
+        return found
+
+    def on_heartbeat(
+        self,
+        beat: relay_server.Heartbeat,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Handle a heartbeat of the backend server."""
+        news = self.server.heard(beat, now)
+        if news is relay_server.News.STALE:
+            return [effects.Log('heartbeat_stale', name=beat.name, born=beat.born)]
+        found: list[effects.Effect] = []
+        if news is relay_server.News.REBORN:
+            found += self._reset_all('server_restarted')
+        if news is not relay_server.News.NOTHING:
+            found.append(
+                effects.Log(
+                    'server_changed',
+                    name=beat.name,
+                    born=beat.born,
+                    sequence=beat.sequence,
+                    draining=beat.is_draining,
+                    cold_ms=beat.cold_ms,
+                ),
+            )
+            found += self.tell_entries(now)
+        return found
+
+    def on_left(self, name: str, now: float) -> list[effects.Effect]:
+        """Handle word that the backend server ends."""
+        if not self.server.left(name):
+            return [effects.Log('leave_stale', name=name)]
+        found: list[effects.Effect] = [effects.Log('server_left', name=name)]
+        return found + self.tell_entries(now)
+
+    def leave(self, now: float) -> list[effects.Effect]:
+        """Take no more flows; the process is about to end."""
+        self.is_leaving = True
+        return self.tell_entries(now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Do what is due."""
+        found: list[effects.Effect] = []
+        for token, question in list(self._question_by_token.items()):
+            if now >= question.until:
+                self._question_by_token.pop(token)
+                found += self._confirm(question, now)
+        if self.server.is_lost(now) and self._flow_by_key:
+            found.append(effects.Log('server_lost', name=self.server.name))
+            found += self._reset_all('server_lost')
+        self._forget(now)
+        if self.state(now) != self._told_state:
+            found += self.tell_entries(now)
+        return found
+
+    def state(self, now: float) -> relaying.State:
+        """Return what entries are told."""
+        if self.is_leaving:
+            return relaying.State.GONE
+        return self.server.state(now)
+
+    def status(self, now: float) -> relaying.Status:
+        """Return the status that goes with every answer."""
+        return relaying.Status(
+            self.state(now),
+            self._load(now),
+            self.server.slots,
+            self.version,
+            self.server.cold_ms(now),
+        )
+
+    def tell_entries(self, now: float) -> list[effects.Effect]:
+        """Return the status for every entry heard of lately."""
+        self._told_state = self.state(now)
+        pong = relaying.Pong(self._tag, self.status(now))
+        return [effects.Send(entry, pong) for entry in self._heard_by_entry]
+
+    def greet(
+        self,
+        entries: typing.Iterable[addresses.Address],
+        now: float,
+    ) -> list[effects.Effect]:
+        """Make this agent known to entries that it has read of."""
+        for entry in entries:
+            self._heard_by_entry.setdefault(entry, now)
+        return self.tell_entries(now)
+
+    def _load(self, now: float) -> int:
+        reserved = 0
+        for flow in self._flow_by_key.values():
+            is_fresh = now - flow.opened_at < RESERVED_SECONDS
+            if is_fresh and not flow.is_busy and not flow.is_served:
+                reserved += 1
+        idle = len(self._flow_by_key) - reserved
+        return (self.busy + reserved) * LOAD_PER_REQUEST + idle * IDLE_FLOW_LOAD
+
+    def _has_free_slot(self, now: float) -> bool:
+        return self._load(now) < self.server.slots * LOAD_PER_REQUEST
+
+    def _on_offer(
+        self,
+        offer: relaying.Offer,
+        entry: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        reason = self._reason_to_pass(offer, now)
+        if reason is not None:
+            passed = relaying.Passed(offer.token, reason, self.status(now))
+            return [effects.Send(entry, passed)]
+        packet = self._codec.from_client(offer.packet)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is None or flow.is_open or flow.ended_at is not None:
+            self._drop(packet.key)
+            flow = _Flow(now)
+            self._flow_by_key[packet.key] = flow
+        flow.entry = entry
+        flow.token = offer.token
+        self.server.given(now)
+        token = self._ask(packet, entry, offer.token, now + HALF_OPEN_SECONDS)
+        return [effects.ToServer(offer.packet, token)]
+
+    def _reason_to_pass(
+        self,
+        offer: relaying.Offer,
+        now: float,
+    ) -> relaying.Reason | None:
+        if offer.service_tag != self._tag:
+            return relaying.Reason.WRONG_SERVICE
+        if self.state(now) != relaying.State.READY:
+            return relaying.Reason.NOT_READY
+        if len(self._flow_by_key) >= MAX_FLOWS:
+            return relaying.Reason.BUSY
+        if not offer.is_final and not self._has_free_slot(now):
+            return relaying.Reason.BUSY
+        return None
+
+    def _on_deliver(
+        self,
+        message: relaying.Deliver,
+        entry: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        packet = self._codec.from_client(message.packet)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is None and not self.server.is_known_since_birth:
+            token = self._ask(packet, entry, 0, now + ASK_SECONDS)
+            return [effects.ToServer(packet.raw, token)]
+        if flow is None or not self._belongs(flow, packet):
+            returned = relaying.Returned(packet.raw, self.status(now))
+            return [effects.Send(entry, returned)]
+        return self._deliver(flow, packet, now)
+
+    def _deliver(
+        self,
+        flow: _Flow,
+        packet: packets.Packet,
+        now: float,
+    ) -> list[effects.Effect]:
+        flow.used_at = now
+        if not packet.is_first:
+            flow.is_open = True
+            flow.acknowledged = packet.acknowledged
+        if packet.data_bytes:
+            self.server.given(now)
+            if not flow.is_busy and flow.ended_at is None:
+                flow.is_served = True
+                self._set_busy(flow, is_busy=True)
+        if packet.is_reset or packet.is_last:
+            self._end(flow, now)
+        return [effects.ToServer(packet.raw)]
+
+    def _belongs(self, flow: _Flow, packet: packets.Packet) -> bool:
+        """Tell whether a packet is one of this flow and not of its twin elsewhere."""
+        if flow.is_open or packet.is_first or flow.server_sequence is None:
+            return True
+        ahead = (packet.acknowledged - flow.server_sequence) % TOKEN_RANGE
+        return ahead <= 1
+
+    def _on_find(
+        self,
+        find: relaying.Find,
+        entry: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        flow = self._flow_by_key.get(find.key)
+        if flow is not None and flow.server_sequence is not None and not flow.is_open:
+            ahead = (find.acknowledged - flow.server_sequence) % TOKEN_RANGE
+            flow = flow if ahead <= 1 else None
+        answer: relaying.Message
+        if flow is not None:
+            sequence = flow.server_sequence or 0
+            answer = relaying.Held(find.token, find.key, sequence, self.status(now))
+        elif self.server.is_known_since_birth or self.server.is_gone:
+            answer = relaying.NotHeld(find.token, self.status(now))
+        else:
+            answer = relaying.Unsure(find.token, self.status(now))
+        return [effects.Send(entry, answer)]
+
+    def _on_ask(
+        self,
+        ask: relaying.Ask,
+        entry: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        packet = self._codec.from_client(ask.packet)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is not None:
+            held = relaying.Held(
+                ask.token, packet.key, flow.server_sequence or 0, self.status(now)
+            )
+            return [effects.Send(entry, held), *self._deliver(flow, packet, now)]
+        token = self._ask(packet, entry, ask.token, now + ASK_SECONDS)
+        return [effects.ToServer(packet.raw, token)]
+
+    def _on_ping(
+        self,
+        ping: relaying.Ping,
+        entry: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        self.version = max(self.version, ping.version)
+        return [effects.Send(entry, relaying.Pong(self._tag, self.status(now)))]
+
+    def _ask(
+        self,
+        packet: packets.Packet,
+        entry: addresses.Address,
+        token: int,
+        until: float,
+    ) -> int:
+        self._token = self._token % (TOKEN_RANGE - 1) + 1
+        question = _Question(packet, entry, token, until)
+        self._question_by_token[self._token] = question
+        return self._token
+
+    def _confirm(self, question: _Question, now: float) -> list[effects.Effect]:
+        """Conclude from a server's silence that it holds the flow."""
+        flow = self._flow_by_key.get(question.key)
+        if question.is_first:
+            if flow is not None and flow.server_sequence is None:
+                self._drop(question.key)
+            return []
+        if flow is None and self.server.is_silent(now):
+            return []
+        if flow is None:
+            self._adopt(question.key, now)
+        if not question.token:
+            return []
+        held = relaying.Held(question.token, question.key, 0, self.status(now))
+        return [effects.Send(question.entry, held)]
+
+    def _on_bounced(
+        self,
+        packet: packets.Packet,
+        now: float,
+    ) -> list[effects.Effect]:
+        question = self._question_by_token.pop(packet.token, None)
+        flow = self._flow_by_key.get(packet.key)
+        if question is None:
+            return self._on_lost_flow(flow, packet, now)
+        if packet.is_first:
+            self._drop(packet.key)
+            answer: relaying.Message = relaying.Passed(
+                question.token, relaying.Reason.REFUSED, self.status(now)
+            )
+        elif question.token:
+            answer = relaying.NotHeld(question.token, self.status(now))
+        else:
+            answer = relaying.Returned(question.packet, self.status(now))
+        return [effects.Send(question.entry, answer)]
+
+    def _on_lost_flow(
+        self,
+        flow: _Flow | None,
+        packet: packets.Packet,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Handle a bounced packet of a flow that the server seemed to hold."""
+        if flow is None or flow.ended_at is not None or packet.is_first:
+            return []
+        self._drop(packet.key)
+        return [effects.Reset(packet.key, packet.acknowledged, 'server_lost_flow')]
+
+    def _adopt(self, key: bytes, now: float) -> _Flow:
+        """Begin a record of a flow that the server held before this process began."""
+        flow = _Flow(now)
+        flow.is_open = True
+        flow.is_served = True
+        self._flow_by_key[key] = flow
+        return flow
+
+    def _set_busy(self, flow: _Flow, *, is_busy: bool) -> None:
+        flow.is_busy = is_busy
+        self.busy += 1 if is_busy else -1
+
+    def _end(self, flow: _Flow, now: float) -> None:
+        if flow.ended_at is None:
+            flow.ended_at = now
+        if flow.is_busy and flow.ended_at is not None:
+            self._set_busy(flow, is_busy=False)
+
+    def _drop(self, key: bytes) -> None:
+        flow = self._flow_by_key.pop(key, None)
+        if flow is not None and flow.is_busy:
+            self._set_busy(flow, is_busy=False)
+
+    def _reset_all(self, reason: str) -> list[effects.Effect]:
+        found: list[effects.Effect] = [
+            effects.Reset(key, flow.acknowledged, reason)
+            for key, flow in self._flow_by_key.items()
+            if flow.is_open and flow.ended_at is None
+        ]
+        self._flow_by_key.clear()
+        self._question_by_token.clear()
+        self.busy = 0
+        return found
+
+    def _forget(self, now: float) -> None:
+        for key, flow in list(self._flow_by_key.items()):
+            is_closed = flow.ended_at is not None and (
+                now - flow.ended_at > CLOSED_SECONDS
+            )
+            is_abandoned = not flow.is_open and now - flow.used_at > HALF_OPEN_SECONDS
+            if is_closed or is_abandoned or now - flow.used_at > IDLE_SECONDS:
+                self._drop(key)
+        for entry, heard_at in list(self._heard_by_entry.items()):
+            if now - heard_at > ENTRY_SECONDS:
+                self._heard_by_entry.pop(entry)
--- /dev/null
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -0,0 +1,525 @@
+"""Flows at an entry that relays: offers of first packets, searches for owners."""
+
+import typing
+
+from egretjunction import addresses
+from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_routes
+from egretjunction.relay import packets
+from egretjunction.wire import relaying
+
+OFFER_SECONDS = 0.06  # twice the way to another failure domain, and a handshake
+OFFER_LIFE_SECONDS = 1.0  # most clients' deadlines end about here
+SEARCH_SECONDS = 0.06
+SEARCH_LIFE_SECONDS = 1.0
+ASK_SECONDS = 0.08  # the agent's wait for its server, and the way
+IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
+QUEUE_PACKETS = 32  # both windows of a flow
+SEARCH_WIDTH = 12  # agents asked at once
+MAX_PENDING = 4096
+REQUEST_LOAD = 100
+TOKEN_RANGE = 2**32
+
+
+class _Flow:
+    """Where a flow's packets go.
+
+    :param owner_by_sequence: agents that answered its first packet, by the
+        sequence number of their server; the client's next packet chooses.
+    """
+
+    __slots__ = ('is_settled', 'owner', 'owner_by_sequence', 'used_at')
+
+    def __init__(self, owner: addresses.Address, now: float) -> None:
+        self.owner = owner
+        self.owner_by_sequence: dict[int, addresses.Address] = {}
+        self.is_settled = False
+        self.used_at = now
+
+
+class _Offer:
+    """A first packet that no agent has taken yet."""
+
+    __slots__ = (
+        'best',
+        'best_fullness',
+        'began_at',
+        'due_at',
+        'is_final',
+        'key',
+        'packet',
+        'refusals',
+        'route',
+        'service',
+        'tried',
+    )
+
+    def __init__(
+        self, packet: packets.Packet, service: str, route: str, now: float
+    ) -> None:
+        self.packet = packet
+        self.key = packet.key
+        self.service = service
+        self.route = route
+        self.tried: set[str] = set()
+        self.best = ''
+        self.best_fullness = float('inf')
+        self.is_final = False
+        self.refusals = 0
+        self.began_at = now
+        self.due_at = now
+
+
+class _Search:
+    """A flow whose owner is not known here."""
+
+    __slots__ = (
+        'asked',
+        'began_at',
+        'denied',
+        'due_at',
+        'key',
+        'queue',
+        'services',
+        'unsure',
+    )
+
+    def __init__(self, key: bytes, services: list[str], now: float) -> None:
+        self.key = key
+        self.services = services
+        self.queue: list[packets.Packet] = []
+        self.asked: set[str] = set()
+        self.unsure: list[str] = []
+        self.denied: set[str] = set()
+        self.began_at = now
+        self.due_at = now
+
+
+class RelayEntry:
+    """Decides about each packet and message of one entry.
+
+    :param members: the agents it knows.
+    :param routes: the routes in force.
+    :param codec: knows the address of a flow's route.
+    """
+
+    def __init__(
+        self,
+        members: relay_members.Members,
+        routes: relay_routes.Routes,
+        codec: packets.Codec,
+    ) -> None:
+        self.members = members
+        self.routes = routes
+        self.newest_version = 0
+        self._codec = codec
+        self._flow_by_key: dict[bytes, _Flow] = {}
+        self._offer_by_token: dict[int, _Offer] = {}
+        self._search_by_token: dict[int, _Search] = {}
+        self._token_by_key: dict[bytes, int] = {}
+        self._token = 0
+        self._swept_at = float('-inf')
+        self._handler_by_kind: dict[type, typing.Any] = {
+            relaying.Held: self._on_held,
+            relaying.Passed: self._on_passed,
+            relaying.NotHeld: self._on_not_held,
+            relaying.Unsure: self._on_unsure,
+            relaying.Returned: self._on_returned,
+            relaying.Pong: self._on_pong,
+        }
+
+    @property
+    def flow_count(self) -> int:
+        """Return how many flows have a known owner."""
+        return len(self._flow_by_key)
+
+    @property
+    def pending_count(self) -> int:
+        """Return how many offers and searches go on."""
+        return len(self._token_by_key)
+
+    def on_client_packet(
+        self,
+        packet: packets.Packet,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Handle a packet of a client."""
+        if packet.is_first:
+            return self._on_first(packet, now)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is None:
+            return self._on_unknown(packet, now)
+        flow.used_at = now
+        if not flow.is_settled:
+            self._settle(flow, packet)
+        owner = self.members.member_by_address.get(flow.owner)
+        if owner is None or owner.is_dead(now):
+            self._flow_by_key.pop(packet.key)
+            return self._on_unknown(packet, now)
+        if packet.is_reset:
+            self._flow_by_key.pop(packet.key)
+        return [effects.Send(flow.owner, relaying.Deliver(packet.raw))]
+
+    def on_message(
+        self,
+        message: typing.Any,
+        agent: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Handle a message of an agent."""
+        member = self.members.member_by_address.get(agent)
+        handler = self._handler_by_kind.get(type(message))
+        if handler is None:
+            return [effects.Log('message_unexpected', kind=type(message).__name__)]
+        if member is None:
+            return [effects.Log('agent_unknown', agent=str(agent))]
+        status = message.status
+        before = member.status.state
+        member.heard(status, now)
+        self.newest_version = max(self.newest_version, status.version)
+        found = handler(message, member, now)
+        if before == status.state:
+            return found
+        changed = effects.Log(
+            'member_changed',
+            member=member.name,
+            before=before.name,
+            state=status.state.name,
+        )
+        return [changed, *found, *self._retry_offers(member, now)]
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Do what is due."""
+        found: list[effects.Effect] = []
+        for member in self.members.due_for_ping(now):
+            member.pinged_at = now
+            member.asked(now)
+            ping = relaying.Ping(self.routes.version, not member.is_listed)
+            found.append(effects.Send(member.address, ping))
+        for token, offer in list(self._offer_by_token.items()):
+            if now >= offer.due_at:
+                found += self._advance_offer(token, offer, now)
+        for token, search in list(self._search_by_token.items()):
+            if now >= search.due_at:
+                found += self._advance_search(token, search, now)
+        if now - self._swept_at > 1:
+            self._swept_at = now
+            self._sweep(now)
+        return found
+
+    def _on_first(self, packet: packets.Packet, now: float) -> list[effects.Effect]:
+        token = self._token_by_key.get(packet.key)
+        offer = self._offer_by_token.get(token or 0)
+        if offer is not None and token is not None:
+            return self._advance_offer(token, offer, now)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is not None:
+            is_copy = packet.acknowledged > 0
+            owner = self.members.member_by_address.get(flow.owner)
+            if is_copy and owner is not None and not owner.is_suspect(now):
+                return [effects.Send(flow.owner, relaying.Deliver(packet.raw))]
+            self._flow_by_key.pop(packet.key)
+        destination = self._codec.destination_of(packet.key)
+        route = self.routes.route_at(destination)
+        if route is None:
+            return [self._reset(packet, 'no_route')]
+        if len(self._token_by_key) >= MAX_PENDING:
+            return [self._reset(packet, 'too_many_pending')]
+        service = relay_routes.service_of(route, packet.key)
+        offer = _Offer(packet, service, route.name, now)
+        token = self._next_token(packet.key)
+        self._offer_by_token[token] = offer
+        return self._advance_offer(token, offer, now)
+
+    def _advance_offer(
+        self,
+        token: int,
+        offer: _Offer,
+        now: float,
+    ) -> list[effects.Effect]:
+        if now - offer.began_at > OFFER_LIFE_SECONDS:
+            self._end_offer(token, offer)
+            return [self._reset(offer.packet, 'nobody_took_it')]
+        offer.due_at = now + OFFER_SECONDS
+        ranked = self.members.ranked(offer.service, offer.key, now)
+        untried = [member for member in ranked if member.name not in offer.tried]
+        if not untried:
+            if not ranked:
+                return []
+            offer.is_final = True
+            offer.tried.clear()
+            untried = ranked
+        member = untried[0]
+        offer.tried.add(member.name)
+        member.asked(now)
+        member.expected_load += REQUEST_LOAD
+        message = relaying.Offer(
+            token,
+            relaying.tag_of(offer.service),
+            offer.is_final,
+            offer.packet.raw,
+        )
+        return [effects.Send(member.address, message)]
+
+    def _retry_offers(
+        self,
+        member: relay_members.Member,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Offer what waits to a member that takes flows again."""
+        if not member.may_take(now):
+            return []
+        found: list[effects.Effect] = []
+        for token, offer in list(self._offer_by_token.items()):
+            if offer.service == member.service and not offer.tried:
+                found += self._advance_offer(token, offer, now)
+        return found
+
+    def _on_unknown(self, packet: packets.Packet, now: float) -> list[effects.Effect]:
+        if packet.is_reset:
+            return []
+        token = self._token_by_key.get(packet.key)
+        search = self._search_by_token.get(token or 0)
+        if search is not None:
+            if len(search.queue) < QUEUE_PACKETS:
+                search.queue.append(packet)
+            return []
+        if token is not None:
+            self._end_offer(token, self._offer_by_token[token])
+        destination = self._codec.destination_of(packet.key)
+        services = self.routes.services_of(destination)
+        if not services or self.routes.route_at(destination) is None:
+            return [self._reset(packet, 'no_route')]
+        if len(self._token_by_key) >= MAX_PENDING:
+            return []
+        search = _Search(packet.key, services, now)
+        search.queue.append(packet)
+        token = self._next_token(packet.key)
+        self._search_by_token[token] = search
+        return self._advance_search(token, search, now)
+
+    def _advance_search(
+        self,
+        token: int,
+        search: _Search,
+        now: float,
+    ) -> list[effects.Effect]:
+        if now - search.began_at > SEARCH_LIFE_SECONDS:
+            self._end_search(token, search)
+            return [effects.Log('search_failed', flow=search.key.hex())]
+        members = self.members.of_services(search.services)
+        alive = [member for member in members if not member.is_dead(now)]
+        open_members = [
+            member for member in alive if member.name not in search.denied
+        ]
+        if not open_members:
+            return self._give_up_search(token, search, now)
+        search.due_at = now + SEARCH_SECONDS
+        fresh = [
+            member for member in open_members if member.name not in search.asked
+        ]
+        waiting = [
+            member for member in open_members if member.name not in search.unsure
+        ]
+        if fresh or waiting:
+            return self._find(token, search, (fresh or waiting)[:SEARCH_WIDTH], now)
+        return self._ask_next(token, search, now)
+
+    def _find(
+        self,
+        token: int,
+        search: _Search,
+        members: list[relay_members.Member],
+        now: float,
+    ) -> list[effects.Effect]:
+        found: list[effects.Effect] = []
+        acknowledged = search.queue[0].acknowledged
+        for member in members:
+            search.asked.add(member.name)
+            member.asked(now)
+            find = relaying.Find(token, search.key, acknowledged)
+            found.append(effects.Send(member.address, find))
+        return found
+
+    def _ask_next(
+        self,
+        token: int,
+        search: _Search,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Let the next unsure agent ask its server, one at a time."""
+        search.due_at = now + ASK_SECONDS
+        name = search.unsure.pop(0)
+        search.unsure.append(name)
+        member = self.members.member_by_name.get(name)
+        if member is None:
+            search.denied.add(name)
+            return []
+        ask = relaying.Ask(token, search.queue[0].raw)
+        return [effects.Send(member.address, ask)]
+
+    def _give_up_search(
+        self,
+        token: int,
+        search: _Search,
+        now: float,
+    ) -> list[effects.Effect]:
+        self._end_search(token, search)
+        return [self._reset(search.queue[-1], 'nobody_holds_it')]
+
+    def _on_held(
+        self,
+        held: relaying.Held,
+        member: relay_members.Member,
+        now: float,
+    ) -> list[effects.Effect]:
+        flow = self._flow_by_key.get(held.key)
+        if flow is None:
+            flow = _Flow(member.address, now)
+            self._flow_by_key[held.key] = flow
+        if held.sequence:
+            flow.owner_by_sequence[held.sequence] = member.address
+        token = self._token_by_key.get(held.key)
+        if token is None:
+            return []
+        offer = self._offer_by_token.get(token)
+        if offer is not None:
+            self._end_offer(token, offer)
+            placed = effects.Log(
+                'flow_placed',
+                flow=held.key.hex(),
+                route=offer.route,
+                version=self.routes.version,
+                member=member.name,
+                load=member.status.load,
+                tried=len(offer.tried),
+                final=offer.is_final,
+                ms=round((now - offer.began_at) * 1000, 1),
+            )
+            return [placed]
+        search = self._search_by_token[token]
+        self._end_search(token, search)
+        flow.owner = member.address
+        flow.is_settled = True
+        located = effects.Log(
+            'flow_located',
+            flow=held.key.hex(),
+            member=member.name,
+            packets=len(search.queue),
+            ms=round((now - search.began_at) * 1000, 1),
+        )
+        return [
+            located,
+            *(
+                effects.Send(member.address, relaying.Deliver(packet.raw))
+                for packet in search.queue
+            ),
+        ]
+
+    def _on_passed(
+        self,
+        passed: relaying.Passed,
+        member: relay_members.Member,
+        now: float,
+    ) -> list[effects.Effect]:
+        offer = self._offer_by_token.get(passed.token)
+        if offer is None:
+            return []
+        return self._advance_offer(passed.token, offer, now)
+
+    def _on_not_held(
+        self,
+        denial: relaying.NotHeld,
+        member: relay_members.Member,
+        now: float,
+    ) -> list[effects.Effect]:
+        search = self._search_by_token.get(denial.token)
+        if search is None:
+            return []
+        search.denied.add(member.name)
+        return self._continue_search(denial.token, search, now)
+
+    def _on_unsure(
+        self,
+        unsure: relaying.Unsure,
+        member: relay_members.Member,
+        now: float,
+    ) -> list[effects.Effect]:
+        search = self._search_by_token.get(unsure.token)
+        if search is None or member.name in search.unsure:
+            return []
+        search.unsure.append(member.name)
+        return self._continue_search(unsure.token, search, now)
+
+    def _continue_search(
+        self,
+        token: int,
+        search: _Search,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Go on at once when everyone asked so far has answered."""
+        answered = search.denied | set(search.unsure)
+        if search.asked <= answered:
+            return self._advance_search(token, search, now)
+        return []
+
+    def _on_returned(
+        self,
+        returned: relaying.Returned,
+        member: relay_members.Member,
+        now: float,
+    ) -> list[effects.Effect]:
+        packet = self._codec.from_client(returned.packet)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is not None and flow.owner != member.address:
+            return [effects.Send(flow.owner, relaying.Deliver(packet.raw))]
+        self._flow_by_key.pop(packet.key, None)
+        if packet.is_first:
+            return []
+        found = self._on_unknown(packet, now)
+        search = self._search_by_token.get(self._token_by_key.get(packet.key, 0))
+        if search is not None:
+            search.denied.add(member.name)
+        return found
+
+    def _on_pong(
+        self,
+        _pong: relaying.Pong,
+        _member: relay_members.Member,
+        _now: float,
+    ) -> list[effects.Effect]:
+        return []
+
+    def _settle(self, flow: _Flow, packet: packets.Packet) -> None:
+        """Choose the agent whose server the client has acknowledged."""
+        flow.is_settled = True
+        for ahead in (0, 1):
+            sequence = (packet.acknowledged - ahead) % TOKEN_RANGE
+            owner = flow.owner_by_sequence.get(sequence)
+            if owner is not None:
+                flow.owner = owner
+
+    def _reset(self, packet: packets.Packet, reason: str) -> effects.Reset:
+        return effects.Reset(packet.key, packet.acknowledged, reason)
+
+    def _next_token(self, key: bytes) -> int:
+        self._token = self._token % (TOKEN_RANGE - 1) + 1
+        self._token_by_key[key] = self._token
+        return self._token
+
+    def _end_offer(self, token: int, offer: _Offer) -> None:
+        self._offer_by_token.pop(token, None)
+        self._token_by_key.pop(offer.key, None)
+
+    def _end_search(self, token: int, search: _Search) -> None:
+        self._search_by_token.pop(token, None)
+        self._token_by_key.pop(search.key, None)
+
+    def _sweep(self, now: float) -> None:
+        for key, flow in list(self._flow_by_key.items()):
+            if now - flow.used_at > IDLE_SECONDS:
+                self._flow_by_key.pop(key)
+        for member in self.members.forgettable(now):
+            if not member.is_listed:
+                self.members.remove(member)
--- /dev/null
+++ b/src/egretjunction/decisions/relay_members.py
@@ -0,0 +1,196 @@
+"""An entry's view of the agents: where they are, and whether they are alive."""
+
+import math
+import typing
+
+import xxhash
+
+from egretjunction import addresses
+from egretjunction.wire import relaying
+
+PING_SECONDS = 0.5
+SILENT_PING_SECONDS = 0.15  # an agent that comes back is found this soon
+LOST_PING_SECONDS = 2.0
+SUSPECT_SECONDS = 0.25  # an answer within a failure domain takes a few milliseconds
+DEAD_SECONDS = 1.5  # longer than the pauses of a process with a processor quota
+FORGOTTEN_SECONDS = 30.0
+FOREIGN_PENALTY = 0.4  # share of a server's slots that a near server may be fuller
+COLD_PENALTY = 0.5  # a server that has just started works 1.6 times as long
+FULL_LOAD = 100
+
+
+class Member:
+    """One agent as an entry sees it.
+
+    :param is_listed: whether the store holds its key now.
+    """
+
+    __slots__ = (
+        'address',
+        'asked_at',
+        'domain',
+        'expected_load',
+        'heard_at',
+        'is_listed',
+        'missing_since',
+        'name',
+        'pinged_at',
+        'revision',
+        'service',
+        'status',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        address: addresses.Address,
+        revision: int = 0,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.address = address
+        self.revision = revision
+        self.is_listed = True
+        self.missing_since = math.inf
+        self.asked_at = math.inf
+        self.heard_at = -math.inf
+        self.pinged_at = -math.inf
+        self.expected_load = 0
+        self.status = relaying.Status(relaying.State.STARTING, 0, 1, 0)
+
+    def asked(self, now: float) -> None:
+        """Record that a message was sent that is answered at once."""
+        self.asked_at = min(self.asked_at, now)
+
+    def heard(self, status: relaying.Status, now: float) -> None:
+        """Take a status that came from the agent itself."""
+        self.status = status
+        self.expected_load = 0
+        self.heard_at = now
+        self.asked_at = math.inf
+
+    def silent_seconds(self, now: float) -> float:
+        """Return how long it has owed an answer."""
+        return max(float(0), now - self.asked_at)
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether it owes an answer for longer than is usual."""
+        return self.silent_seconds(now) > SUSPECT_SECONDS
+
+    def is_dead(self, now: float) -> bool:
+        """Tell whether it has been silent for so long that it holds no flows."""
+        return self.silent_seconds(now) > DEAD_SECONDS
+
+    def may_take(self, now: float) -> bool:
+        """Tell whether new flows may be offered to it."""
+        return self.status.state == relaying.State.READY and not self.is_suspect(now)
+
+    def fullness(self) -> float:
+        """Return its load as a share of its slots, a cold one's raised."""
+        load = self.status.load + self.expected_load
+        share = load / (FULL_LOAD * max(1, self.status.slots))
+        return share + (COLD_PENALTY if self.status.cold_ms else 0)
+
+
+class Members:
+    """All agents that an entry knows.
+
+    :param domain: the entry's own failure domain.
+    """
+
+    def __init__(self, domain: str) -> None:
+        self._domain = domain
+        self.member_by_name: dict[str, Member] = {}
+        self.member_by_address: dict[addresses.Address, Member] = {}
+
+    def list_member(self, member: Member) -> Member | None:
+        """Take a member from the store; return it when it is new or has moved."""
+        known = self.member_by_name.get(member.name)
+        if known is not None and known.address == member.address:
+            known.is_listed = True
+            known.missing_since = math.inf
+            known.revision = member.revision
+            known.service = member.service
+            return None
+        if known is not None:
+            self.remove(known)
+        at_address = self.member_by_address.get(member.address)
+        if at_address is not None:
+            self.remove(at_address)
+        self.member_by_name[member.name] = member
+        self.member_by_address[member.address] = member
+        return member
+
+    def unlist(self, name: str, now: float) -> Member | None:
+        """Take word that the store has no key of a member any more."""
+        member = self.member_by_name.get(name)
+        if member is not None and member.is_listed:
+            member.is_listed = False
+            member.missing_since = now
+        return member
+
+    def unlist_others(self, names: typing.Container[str], now: float) -> None:
+        """Take a whole listing: members that are not in it have no key."""
+        for name in self.member_by_name:
+            if name not in names:
+                self.unlist(name, now)
+
+    def remove(self, member: Member) -> None:
+        """Forget a member."""
+        self.member_by_name.pop(member.name, None)
+        if self.member_by_address.get(member.address) is member:
+            self.member_by_address.pop(member.address)
+
+    def of_services(self, services: typing.Container[str]) -> list[Member]:
+        """Return the members of some services."""
+        return [
+            member
+            for member in self.member_by_name.values()
+            if member.service in services
+        ]
+
+    def ranked(
+        self,
+        service: str,
+        key: bytes,
+        now: float,
+    ) -> list[Member]:
+        """Return the members that may take a new flow, the best first."""
+        usable = [
+            member
+            for member in self.member_by_name.values()
+            if member.service == service and member.may_take(now)
+        ]
+        return sorted(usable, key=lambda member: self._cost(member, key))
+
+    def due_for_ping(self, now: float) -> list[Member]:
+        """Return the members whose status should be asked for now."""
+        return [
+            member
+            for member in self.member_by_name.values()
+            if now - member.pinged_at >= _ping_interval(member, now)
+        ]
+
+    def forgettable(self, now: float) -> list[Member]:
+        """Return members that have been silent for long."""
+        return [
+            member
+            for member in self.member_by_name.values()
+            if member.silent_seconds(now) > FORGOTTEN_SECONDS
+        ]
+
+    def _cost(self, member: Member, key: bytes) -> tuple[float, int]:
+        away = 0 if member.domain == self._domain else FOREIGN_PENALTY
+        steps = round((member.fullness() + away) * 10)
+        return steps, xxhash.xxh32_intdigest(member.name.encode() + key)
+
+
+def _ping_interval(member: Member, now: float) -> float:
+    if member.is_dead(now) and member.silent_seconds(now) > LOST_PING_SECONDS * 5:
+        return LOST_PING_SECONDS
+    if math.isinf(member.asked_at) and not math.isinf(member.heard_at):
+        return PING_SECONDS
+    return SILENT_PING_SECONDS
--- a/src/egretjunction/errors.py
+++ b/src/egretjunction/errors.py
@@ -96,3 +96,7 @@
 
 class RefusedError(EgretjunctionError):
     """A document, value or request exceeds a stated limit."""
+
+
+class PlatformFormatError(EgretjunctionError):
+    """A value or call of the platform cannot be read."""
--- /dev/null
+++ b/src/egretjunction/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying of opaque flows: entries and agents that do not end the flows."""
--- /dev/null
+++ b/src/egretjunction/relay/entry.py
@@ -0,0 +1,212 @@
+"""The entry that relays: takes clients' packets and finds the agents that own them."""
+
+import asyncio
+import contextlib
+import time
+
+from egretjunction import _udp
+from egretjunction import errors
+from egretjunction.decisions import relay_entry
+from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_routes
+from egretjunction.relay import _http
+from egretjunction.relay import _process
+from egretjunction.relay import adapter
+from egretjunction.relay import listings
+from egretjunction.relay import settings
+from egretjunction.relay import store
+from egretjunction.wire import relaying
+
+TICK_SECONDS = 0.025
+CONFIGURATION_WAIT_SECONDS = 4.0  # a watch that hears nothing is repeated this soon
+MEMBERS_WAIT_SECONDS = 15.0
+DRAIN_SECONDS = 4.5  # routers take two failed checks in a second, then senders follow
+SETTLE_SECONDS = 0.15  # agents answer the first pings
+
+
+class RelayEntry:
+    """One entry process; it owns its sockets and its state.
+
+    :param given: checked settings.
+    :param platform: the platform's adapter.
+    :param log: writes one event.
+    """
+
+    def __init__(
+        self,
+        given: settings.RelayEntry,
+        platform: adapter.Adapter,
+        log: _process.Logger,
+    ) -> None:
+        self._given = given
+        self._platform = platform
+        self._log = log
+        self._clock = time.monotonic
+        self._members = relay_members.Members(given.domain)
+        self._routes = relay_routes.Routes()
+        self._flows = relay_entry.RelayEntry(
+            self._members, self._routes, platform.codec
+        )
+        self._is_listed = False
+        self._listed_at: float | None = None
+        self._is_draining = False
+        self._stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a drain has finished."""
+        self._agents = _udp.DatagramSocket(self._given.agents, self._on_agent)
+        self._clients = _udp.DatagramSocket(self._given.clients, self._on_client)
+        self._outlet = _process.Outlet(
+            self._platform.codec, self._log, self._agents, self._clients
+        )
+        _http.listen(
+            self._given.ready,
+            _http.readiness(self._platform.readiness_path, self._is_ready),
+        )
+        _process.on_signals(self.drain, self._reload)
+        _process.every(TICK_SECONDS, self._tick)
+        self._log('entry_started', clients=str(self._given.clients))
+        tasks = [
+            _process.start(self._follow_configuration(), self._log),
+            _process.start(self._follow_members(), self._log),
+        ]
+        await self._stopped.wait()
+        for task in tasks:
+            task.cancel()
+        self._log('entry_stopped', flows=self._flows.flow_count)
+
+    def drain(self) -> None:
+        """Fail the routers' checks, relay what still comes, then end."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        self._log('entry_draining', flows=self._flows.flow_count)
+        asyncio.get_running_loop().call_later(DRAIN_SECONDS, self._stopped.set)
+
+    def _reload(self) -> None:
+        self._log('settings_unchanged')
+
+    def _is_ready(self) -> bool:
+        if self._is_draining or not self._routes.version or self._listed_at is None:
+            return False
+        return self._clock() - self._listed_at >= SETTLE_SECONDS
+
+    def _on_client(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        try:
+            packet = self._platform.codec.from_client(datagram)
+        except errors.PacketError as error:
+            self._log('packet_malformed', sender=sender[0], error=str(error))
+            return
+        self._outlet.apply(self._flows.on_client_packet(packet, self._clock()))
+
+    def _on_agent(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        try:
+            message = relaying.decode(datagram)
+            found = self._flows.on_message(message, sender, self._clock())
+        except errors.PacketError as error:
+            self._log('message_malformed', sender=sender[0], error=str(error))
+            return
+        self._outlet.apply(found)
+
+    def _tick(self) -> None:
+        self._outlet.apply(self._flows.tick(self._clock()))
+
+    async def _follow_configuration(self) -> None:
+        await _process.follow_prefix(
+            self._platform.store,
+            self._platform.configuration_key,
+            CONFIGURATION_WAIT_SECONDS,
+            self._on_configuration_listing,
+            self._on_configuration_changes,
+            self._log,
+        )
+
+    def _on_configuration_listing(self, listing: store.Listing) -> None:
+        for item in listing.items:
+            self._adopt(item)
+
+    def _on_configuration_changes(self, changes: store.Changes) -> None:
+        for item in changes.written:
+            self._adopt(item)
+
+    def _adopt(self, item: store.Item) -> None:
+        if item.key != self._platform.configuration_key:
+            return
+        try:
+            table = self._platform.read_routes(item.data)
+        except errors.PlatformFormatError as error:
+            self._log('configuration_malformed', error=str(error))
+            return
+        if self._routes.adopt(table):
+            self._log(
+                'configuration_adopted',
+                version=table.version,
+                routes=self._routes.count,
+                revision=item.revision,
+            )
+
+    async def _follow_members(self) -> None:
+        key, data = listings.entry_item(
+            self._given.name, self._given.domain, self._given.agents
+        )
+        own = _process.start(self._list_self(key, data), self._log)
+        with contextlib.closing(_Cancelling(own)):
+            await _process.follow_prefix(
+                self._platform.store,
+                listings.AGENTS,
+                MEMBERS_WAIT_SECONDS,
+                self._on_members_listing,
+                self._on_members_changes,
+                self._log,
+            )
+
+    async def _list_self(self, key: str, data: bytes) -> None:
+        item = await _process.until_answered(
+            lambda: self._platform.store.get(key), self._log, 'get own listing'
+        )
+        if item.data != data:
+            await _process.until_answered(
+                lambda: self._platform.store.put(key, data), self._log, 'list self'
+            )
+
+    def _on_members_listing(self, listing: store.Listing) -> None:
+        now = self._clock()
+        names = set()
+        for item in listing.items:
+            names.add(item.key.removeprefix(listings.AGENTS))
+            self._list_member(item)
+        self._members.unlist_others(names, now)
+        if self._listed_at is None:
+            self._listed_at = now
+        self._log('members_listed', count=len(names), revision=listing.revision)
+        self._tick()
+
+    def _on_members_changes(self, changes: store.Changes) -> None:
+        for key in changes.deleted:
+            name = key.removeprefix(listings.AGENTS)
+            member = self._members.unlist(name, self._clock())
+            if member is not None:
+                self._log('member_unlisted', member=name, state=member.status.state)
+        for item in changes.written:
+            self._list_member(item)
+
+    def _list_member(self, item: store.Item) -> None:
+        member = listings.read_agent(item)
+        if member is None:
+            self._log('listing_malformed', key=item.key)
+            return
+        if self._members.list_member(member) is not None:
+            self._log('member_listed', member=member.name, service=member.service)
+
+
+class _Cancelling:
+    """Cancels a task when it is closed."""
+
+    __slots__ = ('_task',)
+
+    def __init__(self, task: asyncio.Task[None]) -> None:
+        self._task = task
+
+    def close(self) -> None:
+        """Cancel the task."""
+        self._task.cancel()
