--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -13,12 +13,15 @@
 from egretjunction.relay import _process
 from egretjunction.relay import adapter
 from egretjunction.relay import listings
+from egretjunction.relay import packets
 from egretjunction.relay import settings
 from egretjunction.relay import store
 from egretjunction.wire import relaying
 
 TICK_SECONDS = 0.025
-CONFIGURATION_WAIT_SECONDS = 4.0  # a watch that hears nothing is repeated this soon
+CONFIGURATION_WAIT_SECONDS = 3.0  # a watch that hears nothing is repeated this soon
+NEWER_SECONDS = 0.3  # between attempts to read a version that others follow
+MAX_EARLY_PACKETS = 512  # of clients, while configuration and agents are read
 MEMBERS_WAIT_SECONDS = 15.0
 DRAIN_SECONDS = 4.5  # routers take two failed checks in a second, then senders follow
 SETTLE_SECONDS = 0.15  # agents answer the first pings
@@ -49,6 +52,7 @@
         )
         self._is_listed = False
         self._listed_at: float | None = None
+        self._early_packets: list[packets.Packet] = []
         self._is_draining = False
         self._stopped = asyncio.Event()
 
@@ -69,6 +73,7 @@
         tasks = [
             _process.start(self._follow_configuration(), self._log),
             _process.start(self._follow_members(), self._log),
+            _process.start(self._read_newer_versions(), self._log),
         ]
         await self._stopped.wait()
         for task in tasks:
@@ -86,8 +91,11 @@
     def _reload(self) -> None:
         self._log('settings_unchanged')
 
+    def _is_informed(self) -> bool:
+        return self._routes.version > 0 and self._listed_at is not None
+
     def _is_ready(self) -> bool:
-        if self._is_draining or not self._routes.version or self._listed_at is None:
+        if self._is_draining or not self._is_informed() or self._listed_at is None:
             return False
         return self._clock() - self._listed_at >= SETTLE_SECONDS
 
@@ -97,7 +105,19 @@
         except errors.PacketError as error:
             self._log('packet_malformed', sender=sender[0], error=str(error))
             return
-        self._outlet.apply(self._flows.on_client_packet(packet, self._clock()))
+        if self._is_informed():
+            self._outlet.apply(self._flows.on_client_packet(packet, self._clock()))
+        elif len(self._early_packets) < MAX_EARLY_PACKETS:
+            self._early_packets.append(packet)
+
+    def _handle_early_packets(self) -> None:
+        """Handle what came before configuration and agents were known."""
+        if not self._is_informed():
+            return
+        early = self._early_packets
+        self._early_packets = []
+        for packet in early:
+            self._outlet.apply(self._flows.on_client_packet(packet, self._clock()))
 
     def _on_agent(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
@@ -144,6 +164,19 @@
                 routes=self._routes.count,
                 revision=item.revision,
             )
+            self._handle_early_packets()
+
+    async def _read_newer_versions(self) -> None:
+        """Read the configuration when an agent has heard of a newer version."""
+        key = self._platform.configuration_key
+        while True:
+            await asyncio.sleep(NEWER_SECONDS)
+            if self._flows.newest_version <= self._routes.version:
+                continue
+            try:
+                self._adopt(await self._platform.store.get(key))
+            except errors.PlatformUnavailableError as error:
+                self._log('newer_version_unread', error=str(error))
 
     async def _follow_members(self) -> None:
         key, data = listings.entry_item(
@@ -180,6 +213,7 @@
             self._listed_at = now
         self._log('members_listed', count=len(names), revision=listing.revision)
         self._tick()
+        self._handle_early_packets()
 
     def _on_members_changes(self, changes: store.Changes) -> None:
         for key in changes.deleted:
