--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -14,7 +14,7 @@
 SUSPECT_SECONDS = 0.25  # an answer within a failure domain takes a few milliseconds
 DEAD_SECONDS = 1.5  # longer than the pauses of a process with a processor quota
 FORGOTTEN_SECONDS = 30.0
-FOREIGN_PENALTY = 0.4  # share of a server's slots that a near server may be fuller
+FOREIGN_PENALTY = 0.8  # share of a server's slots that a near server may be fuller
 COLD_PENALTY = 0.5  # a server that has just started works 1.6 times as long
 FULL_LOAD = 100
 
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -16,6 +16,7 @@
 RETRY_SECONDS = 0.4  # an outage of the store ends at most this long before a call
 Logger = typing.Callable[..., None]
 Task = asyncio.Task[None]
+Work = typing.Coroutine[typing.Any, typing.Any, None]
 
 
 class Outlet:
@@ -74,19 +75,23 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
 
 
-def start(work: typing.Coroutine[typing.Any, typing.Any, None], log: Logger) -> Task:
-    """Begin a task whose failure stands in the log.
+def start(begin: typing.Callable[[], Work], log: Logger) -> Task:
+    """Begin a task; when it fails, log that and begin it anew.
 
-    :param work: what it does.
+    :param begin: returns what the task does.
     """
-    task = asyncio.get_running_loop().create_task(work)
+    return asyncio.get_running_loop().create_task(_repeated(begin, log))
 
-    def on_done(ended: Task) -> None:
-        if not ended.cancelled() and ended.exception() is not None:
-            log('task_failed', error=repr(ended.exception()))
 
-    task.add_done_callback(on_done)
-    return task
+async def _repeated(begin: typing.Callable[[], Work], log: Logger) -> None:
+    while True:
+        try:
+            await begin()
+        except Exception as error:  # a task must outlive faults that nobody foresaw
+            log('task_failed', error=repr(error))
+            await asyncio.sleep(RETRY_SECONDS)
+        else:
+            return
 
 
 async def until_answered(
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -133,7 +133,7 @@
     def _list_self(self) -> None:
         """Make sure that the store lists this agent, unless that goes on already."""
         if self._listing is None or self._listing.done():
-            self._listing = _process.start(self._keep_listed(), self._log)
+            self._listing = _process.start(self._keep_listed, self._log)
 
     async def _keep_listed(self) -> None:
         key, data = listings.agent_item(
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -71,9 +71,9 @@
         _process.every(TICK_SECONDS, self._tick)
         self._log('entry_started', clients=str(self._given.clients))
         tasks = [
-            _process.start(self._follow_configuration(), self._log),
-            _process.start(self._follow_members(), self._log),
-            _process.start(self._read_newer_versions(), self._log),
+            _process.start(self._follow_configuration, self._log),
+            _process.start(self._follow_members, self._log),
+            _process.start(self._read_newer_versions, self._log),
         ]
         await self._stopped.wait()
         for task in tasks:
@@ -182,7 +182,7 @@
         key, data = listings.entry_item(
             self._given.name, self._given.domain, self._given.agents
         )
-        own = _process.start(self._list_self(key, data), self._log)
+        own = _process.start(lambda: self._list_self(key, data), self._log)
         with contextlib.closing(_Cancelling(own)):
             await _process.follow_prefix(
                 self._platform.store,
