--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -215,6 +215,7 @@
             self.server.slots,
             self.version,
             self.server.cold_ms(now),
+            self.server.is_known_since_birth or self.server.is_gone,
         )
 
     def tell_entries(self, now: float) -> list[effects.Effect]:
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -11,9 +11,8 @@
 
 OFFER_SECONDS = 0.06  # twice the way to another failure domain, and a handshake
 OFFER_LIFE_SECONDS = 1.0  # most clients' deadlines end about here
-SEARCH_SECONDS = 0.06
+SEARCH_SECONDS = 0.08  # an agent's wait for its server, and the way
 SEARCH_LIFE_SECONDS = 1.0
-ASK_SECONDS = 0.08  # the agent's wait for its server, and the way
 IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
 QUEUE_PACKETS = 32  # both windows of a flow
 SEARCH_WIDTH = 12  # agents asked at once
@@ -90,7 +89,7 @@
         self.services = services
         self.queue: list[packets.Packet] = []
         self.asked: set[str] = set()
-        self.unsure: list[str] = []
+        self.unsure: set[str] = set()
         self.denied: set[str] = set()
         self.began_at = now
         self.due_at = now
@@ -319,45 +318,25 @@
         fresh = [
             member for member in open_members if member.name not in search.asked
         ]
-        waiting = [
-            member for member in open_members if member.name not in search.unsure
-        ]
-        if fresh or waiting:
-            return self._find(token, search, (fresh or waiting)[:SEARCH_WIDTH], now)
-        return self._ask_next(token, search, now)
-
-    def _find(
-        self,
-        token: int,
-        search: _Search,
-        members: list[relay_members.Member],
-        now: float,
-    ) -> list[effects.Effect]:
         found: list[effects.Effect] = []
-        acknowledged = search.queue[0].acknowledged
-        for member in members:
+        for member in (fresh or open_members)[:SEARCH_WIDTH]:
             search.asked.add(member.name)
             member.asked(now)
-            find = relaying.Find(token, search.key, acknowledged)
-            found.append(effects.Send(member.address, find))
+            found.append(self._question(token, search, member))
         return found
 
-    def _ask_next(
+    def _question(
         self,
         token: int,
         search: _Search,
-        now: float,
-    ) -> list[effects.Effect]:
-        """Let the next unsure agent ask its server, one at a time."""
-        search.due_at = now + ASK_SECONDS
-        name = search.unsure.pop(0)
-        search.unsure.append(name)
-        member = self.members.member_by_name.get(name)
-        if member is None:
-            search.denied.add(name)
-            return []
-        ask = relaying.Ask(token, search.queue[0].raw)
-        return [effects.Send(member.address, ask)]
+        member: relay_members.Member,
+    ) -> effects.Send:
+        """Return what asks a member whether it holds a flow."""
+        packet = search.queue[0]
+        if member.status.is_sure and member.name not in search.unsure:
+            find = relaying.Find(token, search.key, packet.acknowledged)
+            return effects.Send(member.address, find)
+        return effects.Send(member.address, relaying.Ask(token, packet.raw))
 
     def _give_up_search(
         self,
@@ -447,10 +426,10 @@
         now: float,
     ) -> list[effects.Effect]:
         search = self._search_by_token.get(unsure.token)
-        if search is None or member.name in search.unsure:
+        if search is None:
             return []
-        search.unsure.append(member.name)
-        return self._continue_search(unsure.token, search, now)
+        search.unsure.add(member.name)
+        return [self._question(unsure.token, search, member)]
 
     def _continue_search(
         self,
@@ -459,8 +438,7 @@
         now: float,
     ) -> list[effects.Effect]:
         """Go on at once when everyone asked so far has answered."""
-        answered = search.denied | set(search.unsure)
-        if search.asked <= answered:
+        if search.asked <= search.denied:
             return self._advance_search(token, search, now)
         return []
 
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -164,3 +164,12 @@
                 await self._platform.store.delete(key, item.revision)
         except (errors.PlatformUnavailableError, errors.ConflictError) as error:
             self._log('agent_still_listed', error=str(error))
+
+
+async def start(
+    given: settings.RelayAgent,
+    platform: adapter.Adapter,
+    log: _process.Logger,
+) -> None:
+    """Run this role until it has drained."""
+    await RelayAgent(given, platform, log).run()
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -23,7 +23,9 @@
 NEWER_SECONDS = 0.3  # between attempts to read a version that others follow
 MAX_EARLY_PACKETS = 512  # of clients, while configuration and agents are read
 MEMBERS_WAIT_SECONDS = 15.0
-DRAIN_SECONDS = 4.5  # routers take two failed checks in a second, then senders follow
+MIN_DRAIN_SECONDS = 1.2  # routers take two failed checks, half a second apart
+MAX_DRAIN_SECONDS = 5.2  # the platform kills a process 6 s after its signal to end
+QUIET_SECONDS = 0.4  # without clients' packets: the routers have left this entry
 SETTLE_SECONDS = 0.15  # agents answer the first pings
 
 
@@ -53,7 +55,8 @@
         self._is_listed = False
         self._listed_at: float | None = None
         self._early_packets: list[packets.Packet] = []
-        self._is_draining = False
+        self._draining_since: float | None = None
+        self._client_at = float('-inf')
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
@@ -82,11 +85,10 @@
 
     def drain(self) -> None:
         """Fail the routers' checks, relay what still comes, then end."""
-        if self._is_draining:
+        if self._draining_since is not None:
             return
-        self._is_draining = True
+        self._draining_since = self._clock()
         self._log('entry_draining', flows=self._flows.flow_count)
-        asyncio.get_running_loop().call_later(DRAIN_SECONDS, self._stopped.set)
 
     def _reload(self) -> None:
         self._log('settings_unchanged')
@@ -95,7 +97,7 @@
         return self._routes.version > 0 and self._listed_at is not None
 
     def _is_ready(self) -> bool:
-        if self._is_draining or not self._is_informed() or self._listed_at is None:
+        if self._draining_since is not None or not self._is_informed() or self._listed_at is None:
             return False
         return self._clock() - self._listed_at >= SETTLE_SECONDS
 
@@ -105,6 +107,7 @@
         except errors.PacketError as error:
             self._log('packet_malformed', sender=sender[0], error=str(error))
             return
+        self._client_at = self._clock()
         if self._is_informed():
             self._outlet.apply(self._flows.on_client_packet(packet, self._clock()))
         elif len(self._early_packets) < MAX_EARLY_PACKETS:
@@ -129,7 +132,14 @@
         self._outlet.apply(found)
 
     def _tick(self) -> None:
-        self._outlet.apply(self._flows.tick(self._clock()))
+        now = self._clock()
+        self._outlet.apply(self._flows.tick(now))
+        if self._draining_since is None:
+            return
+        drained = now - self._draining_since
+        is_quiet = now - self._client_at > QUIET_SECONDS
+        if drained > MAX_DRAIN_SECONDS or (drained > MIN_DRAIN_SECONDS and is_quiet):
+            self._stopped.set()
 
     async def _follow_configuration(self) -> None:
         await _process.follow_prefix(
@@ -244,3 +254,12 @@
     def close(self) -> None:
         """Cancel the task."""
         self._task.cancel()
+
+
+async def start(
+    given: settings.RelayEntry,
+    platform: adapter.Adapter,
+    log: _process.Logger,
+) -> None:
+    """Run this role until it has drained."""
+    await RelayEntry(given, platform, log).run()
--- a/src/egretjunction/relay/running.py
+++ b/src/egretjunction/relay/running.py
@@ -1,16 +1,15 @@
 """Starts a daemon that relays, on a platform whose adapter is given."""
 
-import pathlib
+import importlib
 import sys
 import typing
 
 from egretjunction import addresses
 from egretjunction import errors
 from egretjunction.relay import adapter
-from egretjunction.relay import agent
-from egretjunction.relay import entry
 from egretjunction.relay import settings
 
+_KIND_BY_ROLE = {'entry': settings.RelayEntry, 'agent': settings.RelayAgent}
 Connect = typing.Callable[[int, addresses.Address], adapter.Adapter]
 
 
@@ -24,17 +23,22 @@
     :raises errors.RefusedError: when there is no such role.
     :raises errors.SettingsErrors: with every error in the settings.
     """
-    text = pathlib.Path(settings_path).read_text(encoding='utf-8')
-    if role == 'entry':
-        given = settings.read(text, settings_path, settings.RelayEntry)
-        platform = connect(given.clients.port, given.platform)
-        await entry.RelayEntry(given, platform, _log).run()
-    elif role == 'agent':
-        given = settings.read(text, settings_path, settings.RelayAgent)
-        platform = connect(given.entries.port, given.platform)
-        await agent.RelayAgent(given, platform, _log).run()
-    else:
+    if role not in _KIND_BY_ROLE:
         raise errors.RefusedError(f'no role "{role}": it is entry or agent')
+    given = settings.read(_read_text(settings_path), settings_path, _KIND_BY_ROLE[role])
+    platform = connect(given.client_port, given.platform)
+    module = importlib.import_module(f'egretjunction.relay.{role}')
+    await module.start(given, platform, _log)
+
+
+def _read_text(path: str) -> str:
+    try:
+        with open(path, encoding='utf-8') as opened:
+            return opened.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            path, '*', '*', str(error), 'a readable text file'
+        ) from error
 
 
 def _log(event: str, **fields: object) -> None:
--- a/src/egretjunction/relay/settings.py
+++ b/src/egretjunction/relay/settings.py
@@ -26,6 +26,11 @@
     metrics: addresses.Address
     platform: addresses.Address
 
+    @property
+    def client_port(self) -> int:
+        """Return the port at which clients receive packets: the entries' own."""
+        return self.clients.port
+
 
 class RelayAgent(msgspec.Struct, frozen=True, kw_only=True):
     """Section ``[relay-agent]``.
@@ -55,6 +60,11 @@
     heartbeat_ms: int
     platform: addresses.Address
 
+    @property
+    def client_port(self) -> int:
+        """Return the port at which clients receive packets: the entries' own."""
+        return self.entries.port
+
 
 SECTION_BY_KIND = {RelayEntry: 'relay-entry', RelayAgent: 'relay-agent'}
 
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -36,6 +36,8 @@
     :param slots: requests that the backend server runs at once.
     :param version: highest version of the configuration that it has heard of.
     :param cold_ms: how much longer the backend server is slow after its start.
+    :param is_sure: whether it knows every flow of its backend server; one that
+        was started later must ask the server.
     """
 
     state: State
@@ -43,6 +45,7 @@
     slots: int
     version: int
     cold_ms: int = 0
+    is_sure: bool = True
 
 
 class Offer(msgspec.Struct, array_like=True, tag=1):
