First packets wait at the entries while every server is full; work is counted once

Cause: after a power loss each server queued 11 to 24 requests first in, first out, so for two seconds every answer was late. Packets now wait at entries, fresh ones first; agents take half their slots more than they have and call entries when there is room. Ruled out: late start of agents (up 35.4 s, queue until 37.4 s).

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -5,13 +5,11 @@
 from egretjunction import addresses
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_server
+from egretjunction.decisions import relay_work
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
-LOAD_PER_REQUEST = 100  # loads are told in hundredths of a request
-IDLE_FLOW_LOAD = 2  # hundredths: a feed's requests keep a slot busy for about 2 %
 HALF_OPEN_SECONDS = 1.4  # a client gives an unanswered first packet up after 1.4 s
-RESERVED_SECONDS = 0.3  # the request of a new flow follows its handshake at once
 ASK_SECONDS = 0.03  # a server bounces what it does not hold within a millisecond
 CLOSED_SECONDS = 3.0  # late packets of an ended flow still find its record
 IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
@@ -23,6 +21,9 @@
 class _Flow:
     """One flow at this agent.
 
+    :param is_open: whether the client has acknowledged this agent's server.
+    :param is_confirmed: whether the server has answered a packet after the first.
+    :param is_provisional: whether the server was asked about it and has not told.
     :param server_sequence: the sequence number that its server began with.
     """
 
@@ -30,9 +31,9 @@
         'acknowledged',
         'ended_at',
         'entry',
-        'is_busy',
+        'is_confirmed',
         'is_open',
-        'is_served',
+        'is_provisional',
         'opened_at',
         'server_sequence',
         'token',
@@ -43,8 +44,8 @@
         self.opened_at = now
         self.used_at = now
         self.is_open = False
-        self.is_busy = False
-        self.is_served = False
+        self.is_confirmed = False
+        self.is_provisional = False
         self.ended_at: float | None = None
         self.server_sequence: int | None = None
         self.acknowledged = 0
@@ -87,12 +88,13 @@
         self.server = server
         self.is_leaving = False
         self.version = 0
-        self.busy = 0
         self._codec = codec
         self._tag = relaying.tag_of(server.service)
         self._flow_by_key: dict[bytes, _Flow] = {}
         self._question_by_token: dict[int, _Question] = {}
         self._heard_by_entry: dict[addresses.Address, float] = {}
+        self._work = relay_work.Work()
+        self._waiting_entries: set[addresses.Address] = set()
         self._token = 0
         self._told_state = relaying.State.STARTING
         self._handler_by_kind: dict[type, typing.Any] = {
@@ -103,6 +105,11 @@
             relaying.Ping: self._on_ping,
         }
 
+    @property
+    def busy(self) -> int:
+        """Return how many requests are at work."""
+        return self._work.busy
+
     @property
     def flow_count(self) -> int:
         """Return how many flows this agent has a record of."""
@@ -130,11 +137,15 @@
         self.server.answered(now)
         if packet.is_bounced:
             return self._on_bounced(packet, now)
+        found: list[effects.Effect] = [effects.ToClient(packet.key, packet.raw)]
         flow = self._flow_by_key.get(packet.key)
+        if flow is None and (packet.is_opening or self.server.is_known_since_birth):
+            return found
         if flow is None:
             flow = self._adopt(packet.key, now)
         flow.used_at = now
-        found: list[effects.Effect] = [effects.ToClient(packet.key, packet.raw)]
+        if flow.is_provisional:
+            found += self._settle(packet.key, flow, now)
         if packet.is_opening and flow.server_sequence is None:
             flow.server_sequence = packet.sequence
             if flow.entry is not None:
@@ -142,11 +153,13 @@
                     flow.token, packet.key, packet.sequence, self.status(now)
                 )
                 found.append(effects.Send(flow.entry, held))
-        if packet.data_bytes and flow.is_busy:
-            self._set_busy(flow, is_busy=False)
+        if not packet.is_opening:
+            flow.is_confirmed = True
+        if packet.data_bytes:
+            self._work.answered(packet.key)
         if packet.is_reset or packet.is_last:
-            self._end(flow, now)
-        return found
+            self._end(packet.key, flow, now)
+        return found + self._call_waiting(now)
 
     def on_heartbeat(
         self,
@@ -197,6 +210,7 @@
             found.append(effects.Log('server_lost', name=self.server.name))
             found += self._reset_all('server_lost')
         self._forget(now)
+        found += self._call_waiting(now)
         if self.state(now) != self._told_state:
             found += self.tell_entries(now)
         return found
@@ -211,7 +225,8 @@
         """Return the status that goes with every answer."""
         return relaying.Status(
             self.state(now),
-            self._load(now),
+            self._work.amount(now),
+            len(self._flow_by_key),
             self.server.slots,
             self.version,
             self.server.cold_ms(now),
@@ -234,17 +249,16 @@
             self._heard_by_entry.setdefault(entry, now)
         return self.tell_entries(now)
 
-    def _load(self, now: float) -> int:
-        reserved = 0
-        for flow in self._flow_by_key.values():
-            is_fresh = now - flow.opened_at < RESERVED_SECONDS
-            if is_fresh and not flow.is_busy and not flow.is_served:
-                reserved += 1
-        idle = len(self._flow_by_key) - reserved
-        return (self.busy + reserved) * LOAD_PER_REQUEST + idle * IDLE_FLOW_LOAD
-
-    def _has_free_slot(self, now: float) -> bool:
-        return self._load(now) < self.server.slots * LOAD_PER_REQUEST
+    def _call_waiting(self, now: float) -> list[effects.Effect]:
+        """Tell entries with waiting first packets that there is room."""
+        if not self._waiting_entries:
+            return []
+        if not self._work.has_room(self.server.slots, now, is_final=True):
+            return []
+        pong = relaying.Pong(self._tag, self.status(now))
+        found = [effects.Send(entry, pong) for entry in self._waiting_entries]
+        self._waiting_entries.clear()
+        return list(found)
 
     def _on_offer(
         self,
@@ -254,6 +268,8 @@
     ) -> list[effects.Effect]:
         reason = self._reason_to_pass(offer, now)
         if reason is not None:
+            if reason is relaying.Reason.BUSY:
+                self._waiting_entries.add(entry)
             passed = relaying.Passed(offer.token, reason, self.status(now))
             return [effects.Send(entry, passed)]
         packet = self._codec.from_client(offer.packet)
@@ -264,6 +280,7 @@
             self._flow_by_key[packet.key] = flow
         flow.entry = entry
         flow.token = offer.token
+        self._work.reserve(packet.key, now)
         self.server.given(now)
         token = self._ask(packet, entry, offer.token, now + HALF_OPEN_SECONDS)
         return [effects.ToServer(offer.packet, token)]
@@ -279,7 +296,8 @@
             return relaying.Reason.NOT_READY
         if len(self._flow_by_key) >= MAX_FLOWS:
             return relaying.Reason.BUSY
-        if not offer.is_final and not self._has_free_slot(now):
+        slots = self.server.slots
+        if not self._work.has_room(slots, now, is_final=offer.is_final):
             return relaying.Reason.BUSY
         return None
 
@@ -292,11 +310,12 @@
         packet = self._codec.from_client(message.packet)
         flow = self._flow_by_key.get(packet.key)
         if flow is None and not self.server.is_known_since_birth:
-            token = self._ask(packet, entry, 0, now + ASK_SECONDS)
-            return [effects.ToServer(packet.raw, token)]
+            return self._inquire(packet, entry, 0, now)
         if flow is None or not self._belongs(flow, packet):
             returned = relaying.Returned(packet.raw, self.status(now))
             return [effects.Send(entry, returned)]
+        if flow.is_provisional:
+            return self._inquire(packet, entry, 0, now)
         return self._deliver(flow, packet, now)
 
     def _deliver(
@@ -311,17 +330,18 @@
             flow.acknowledged = packet.acknowledged
         if packet.data_bytes:
             self.server.given(now)
-            if not flow.is_busy and flow.ended_at is None:
-                flow.is_served = True
-                self._set_busy(flow, is_busy=True)
+        if flow.ended_at is None:
+            self._work.given(packet, now)
         if packet.is_reset or packet.is_last:
-            self._end(flow, now)
+            self._end(packet.key, flow, now)
         return [effects.ToServer(packet.raw)]
 
     def _belongs(self, flow: _Flow, packet: packets.Packet) -> bool:
         """Tell whether a packet is one of this flow and not of its twin elsewhere."""
-        if flow.is_open or packet.is_first or flow.server_sequence is None:
+        if flow.is_open or packet.is_first:
             return True
+        if flow.server_sequence is None:
+            return False
         ahead = (packet.acknowledged - flow.server_sequence) % TOKEN_RANGE
         return ahead <= 1
 
@@ -336,7 +356,7 @@
             ahead = (find.acknowledged - flow.server_sequence) % TOKEN_RANGE
             flow = flow if ahead <= 1 else None
         answer: relaying.Message
-        if flow is not None:
+        if flow is not None and not flow.is_provisional:
             sequence = flow.server_sequence or 0
             answer = relaying.Held(find.token, find.key, sequence, self.status(now))
         elif self.server.is_known_since_birth or self.server.is_gone:
@@ -353,13 +373,37 @@
     ) -> list[effects.Effect]:
         packet = self._codec.from_client(ask.packet)
         flow = self._flow_by_key.get(packet.key)
-        if flow is not None:
-            held = relaying.Held(
-                ask.token, packet.key, flow.server_sequence or 0, self.status(now)
-            )
-            return [effects.Send(entry, held), *self._deliver(flow, packet, now)]
-        token = self._ask(packet, entry, ask.token, now + ASK_SECONDS)
-        return [effects.ToServer(packet.raw, token)]
+        if flow is None or flow.is_provisional:
+            return self._inquire(packet, entry, ask.token, now)
+        if not self._belongs(flow, packet):
+            denied = relaying.NotHeld(ask.token, self.status(now))
+            return [effects.Send(entry, denied)]
+        held = relaying.Held(
+            ask.token, packet.key, flow.server_sequence or 0, self.status(now)
+        )
+        return [effects.Send(entry, held), *self._deliver(flow, packet, now)]
+
+    def _inquire(
+        self,
+        packet: packets.Packet,
+        entry: addresses.Address,
+        token: int,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Give the server a packet of a flow that only the server can know."""
+        flow = self._flow_by_key.get(packet.key)
+        if flow is None:
+            flow = _Flow(now)
+            flow.is_open = True
+            flow.is_provisional = True
+            self._flow_by_key[packet.key] = flow
+        if token:
+            flow.entry = entry
+            flow.token = token
+        flow.acknowledged = packet.acknowledged
+        self._work.given(packet, now)
+        number = self._ask(packet, entry, token, now + ASK_SECONDS)
+        return [effects.ToServer(packet.raw, number)]
 
     def _on_ping(
         self,
@@ -389,14 +433,18 @@
             if flow is not None and flow.server_sequence is None:
                 self._drop(question.key)
             return []
-        if flow is None and self.server.is_silent(now):
+        if flow is None or not flow.is_provisional or self.server.is_silent(now):
             return []
-        if flow is None:
-            self._adopt(question.key, now)
-        if not question.token:
+        return self._settle(question.key, flow, now)
+
+    def _settle(self, key: bytes, flow: _Flow, now: float) -> list[effects.Effect]:
+        """Conclude that the server holds a flow that it was asked about."""
+        flow.is_provisional = False
+        flow.is_confirmed = True
+        if flow.entry is None:
             return []
-        held = relaying.Held(question.token, question.key, 0, self.status(now))
-        return [effects.Send(question.entry, held)]
+        held = relaying.Held(flow.token, key, 0, self.status(now))
+        return [effects.Send(flow.entry, held)]
 
     def _on_bounced(
         self,
@@ -405,6 +453,8 @@
     ) -> list[effects.Effect]:
         question = self._question_by_token.pop(packet.token, None)
         flow = self._flow_by_key.get(packet.key)
+        if question is not None and flow is not None and flow.is_provisional:
+            self._drop(packet.key)
         if question is None:
             return self._on_lost_flow(flow, packet, now)
         if packet.is_first:
@@ -428,30 +478,27 @@
         if flow is None or flow.ended_at is not None or packet.is_first:
             return []
         self._drop(packet.key)
-        return [effects.Reset(packet.key, packet.acknowledged, 'server_lost_flow')]
+        if flow.is_confirmed or flow.entry is None:
+            return [effects.Reset(packet.key, packet.acknowledged, 'server_lost_flow')]
+        raw = self._codec.restored(packet.raw)
+        return [effects.Send(flow.entry, relaying.Returned(raw, self.status(now)))]
 
     def _adopt(self, key: bytes, now: float) -> _Flow:
         """Begin a record of a flow that the server held before this process began."""
         flow = _Flow(now)
         flow.is_open = True
-        flow.is_served = True
+        flow.is_confirmed = True
         self._flow_by_key[key] = flow
         return flow
 
-    def _set_busy(self, flow: _Flow, *, is_busy: bool) -> None:
-        flow.is_busy = is_busy
-        self.busy += 1 if is_busy else -1
-
-    def _end(self, flow: _Flow, now: float) -> None:
+    def _end(self, key: bytes, flow: _Flow, now: float) -> None:
         if flow.ended_at is None:
             flow.ended_at = now
-        if flow.is_busy and flow.ended_at is not None:
-            self._set_busy(flow, is_busy=False)
+        self._work.answered(key)
 
     def _drop(self, key: bytes) -> None:
-        flow = self._flow_by_key.pop(key, None)
-        if flow is not None and flow.is_busy:
-            self._set_busy(flow, is_busy=False)
+        self._flow_by_key.pop(key, None)
+        self._work.forget(key)
 
     def _reset_all(self, reason: str) -> list[effects.Effect]:
         found: list[effects.Effect] = [
@@ -461,7 +508,7 @@
         ]
         self._flow_by_key.clear()
         self._question_by_token.clear()
-        self.busy = 0
+        self._work.clear()
         return found
 
     def _forget(self, now: float) -> None:
@@ -475,3 +522,4 @@
         for entry, heard_at in list(self._heard_by_entry.items()):
             if now - heard_at > ENTRY_SECONDS:
                 self._heard_by_entry.pop(entry)
+
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -6,18 +6,19 @@
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
+from egretjunction.decisions import relay_waiting
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
 OFFER_SECONDS = 0.06  # twice the way to another failure domain, and a handshake
-OFFER_LIFE_SECONDS = 1.0  # most clients' deadlines end about here
+ATTEMPT_SECONDS = 1.4  # a client gives an unanswered first packet up
+WAITING_SECONDS = 0.05  # a waiting first packet is offered anew, whatever agents tell
 SEARCH_SECONDS = 0.08  # an agent's wait for its server, and the way
 SEARCH_LIFE_SECONDS = 1.0
 IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
 QUEUE_PACKETS = 32  # both windows of a flow
 SEARCH_WIDTH = 12  # agents asked at once
 MAX_PENDING = 4096
-REQUEST_LOAD = 100
 TOKEN_RANGE = 2**32
 
 
@@ -41,31 +42,37 @@
     """A first packet that no agent has taken yet."""
 
     __slots__ = (
-        'best',
-        'best_fullness',
         'began_at',
         'due_at',
         'is_final',
+        'is_waiting',
         'key',
         'packet',
-        'refusals',
+        'priority',
         'route',
         'service',
+        'target_seconds',
+        'timeout_seconds',
         'tried',
     )
 
     def __init__(
-        self, packet: packets.Packet, service: str, route: str, now: float
+        self,
+        packet: packets.Packet,
+        service: str,
+        route: relay_routes.Route,
+        now: float,
     ) -> None:
         self.packet = packet
         self.key = packet.key
         self.service = service
-        self.route = route
+        self.route = route.name
+        self.priority = route.priority
+        self.target_seconds = route.target_seconds
+        self.timeout_seconds = min(route.timeout_seconds, ATTEMPT_SECONDS)
         self.tried: set[str] = set()
-        self.best = ''
-        self.best_fullness = float('inf')
         self.is_final = False
-        self.refusals = 0
+        self.is_waiting = False
         self.began_at = now
         self.due_at = now
 
@@ -78,6 +85,7 @@
         'began_at',
         'denied',
         'due_at',
+        'given',
         'key',
         'queue',
         'services',
@@ -90,6 +98,7 @@
         self.queue: list[packets.Packet] = []
         self.asked: set[str] = set()
         self.unsure: set[str] = set()
+        self.given: set[str] = set()
         self.denied: set[str] = set()
         self.began_at = now
         self.due_at = now
@@ -178,6 +187,7 @@
         member.heard(status, now)
         self.newest_version = max(self.newest_version, status.version)
         found = handler(message, member, now)
+        found += self._fill(member, now)
         if before == status.state:
             return found
         changed = effects.Log(
@@ -186,7 +196,7 @@
             before=before.name,
             state=status.state.name,
         )
-        return [changed, *found, *self._retry_offers(member, now)]
+        return [changed, *found]
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Do what is due."""
@@ -211,7 +221,7 @@
         token = self._token_by_key.get(packet.key)
         offer = self._offer_by_token.get(token or 0)
         if offer is not None and token is not None:
-            return self._advance_offer(token, offer, now)
+            return [] if offer.is_waiting else self._advance_offer(token, offer, now)
         flow = self._flow_by_key.get(packet.key)
         if flow is not None:
             is_copy = packet.acknowledged > 0
@@ -226,7 +236,7 @@
         if len(self._token_by_key) >= MAX_PENDING:
             return [self._reset(packet, 'too_many_pending')]
         service = relay_routes.service_of(route, packet.key)
-        offer = _Offer(packet, service, route.name, now)
+        offer = _Offer(packet, service, route, now)
         token = self._next_token(packet.key)
         self._offer_by_token[token] = offer
         return self._advance_offer(token, offer, now)
@@ -237,42 +247,63 @@
         offer: _Offer,
         now: float,
     ) -> list[effects.Effect]:
-        if now - offer.began_at > OFFER_LIFE_SECONDS:
+        """Offer a first packet to the next member, or let it wait for room."""
+        if relay_waiting.is_hopeless(offer, now):
             self._end_offer(token, offer)
             return [self._reset(offer.packet, 'nobody_took_it')]
-        offer.due_at = now + OFFER_SECONDS
         ranked = self.members.ranked(offer.service, offer.key, now)
         untried = [member for member in ranked if member.name not in offer.tried]
-        if not untried:
-            if not ranked:
-                return []
+        if not untried and not offer.is_final:
             offer.is_final = True
             offer.tried.clear()
             untried = ranked
-        member = untried[0]
+        if offer.is_final:
+            untried = [member for member in untried if member.room() > 0]
+        if untried:
+            return [self._offer(token, offer, untried[0], now)]
+        offer.is_waiting = True
+        offer.tried.clear()
+        offer.due_at = now + WAITING_SECONDS
+        return []
+
+    def _offer(
+        self,
+        token: int,
+        offer: _Offer,
+        member: relay_members.Member,
+        now: float,
+    ) -> effects.Send:
+        offer.is_waiting = False
+        offer.due_at = now + OFFER_SECONDS
         offer.tried.add(member.name)
         member.asked(now)
-        member.expected_load += REQUEST_LOAD
+        member.expected_work += 1
         message = relaying.Offer(
             token,
             relaying.tag_of(offer.service),
             offer.is_final,
             offer.packet.raw,
         )
-        return [effects.Send(member.address, message)]
+        return effects.Send(member.address, message)
 
-    def _retry_offers(
+    def _fill(
         self,
         member: relay_members.Member,
         now: float,
     ) -> list[effects.Effect]:
-        """Offer what waits to a member that takes flows again."""
-        if not member.may_take(now):
-            return []
+        """Offer what waits to a member that has room."""
         found: list[effects.Effect] = []
-        for token, offer in list(self._offer_by_token.items()):
-            if offer.service == member.service and not offer.tried:
-                found += self._advance_offer(token, offer, now)
+        if not self._offer_by_token or not member.may_take(now):
+            return found
+        token_by_offer = {
+            offer: token
+            for token, offer in self._offer_by_token.items()
+            if offer.is_waiting and offer.service == member.service
+        }
+        while token_by_offer and member.room() > 0:
+            chosen = relay_waiting.next_of(token_by_offer, now)
+            offer = typing.cast('_Offer', chosen)
+            found.append(self._offer(token_by_offer.pop(offer), offer, member, now))
         return found
 
     def _on_unknown(self, packet: packets.Packet, now: float) -> list[effects.Effect]:
@@ -336,6 +367,7 @@
         if member.status.is_sure and member.name not in search.unsure:
             find = relaying.Find(token, search.key, packet.acknowledged)
             return effects.Send(member.address, find)
+        search.given.add(member.name)
         return effects.Send(member.address, relaying.Ask(token, packet.raw))
 
     def _give_up_search(
@@ -371,7 +403,8 @@
                 route=offer.route,
                 version=self.routes.version,
                 member=member.name,
-                load=member.status.load,
+                work=member.status.work,
+                flows=member.status.flows,
                 tried=len(offer.tried),
                 final=offer.is_final,
                 ms=round((now - offer.began_at) * 1000, 1),
@@ -392,7 +425,7 @@
             located,
             *(
                 effects.Send(member.address, relaying.Deliver(packet.raw))
-                for packet in search.queue
+                for packet in search.queue[member.name in search.given :]
             ),
         ]
 
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_work
 from egretjunction.wire import relaying
 
 PING_SECONDS = 0.5
@@ -16,7 +17,7 @@
 FORGOTTEN_SECONDS = 30.0
 FOREIGN_PENALTY = 0.8  # share of a server's slots that a near server may be fuller
 COLD_PENALTY = 0.5  # a server that has just started works 1.6 times as long
-FULL_LOAD = 100
+FLOW_WORK = 0.02  # requests at work that one open flow makes
 
 
 class Member:
@@ -29,7 +30,7 @@
         'address',
         'asked_at',
         'domain',
-        'expected_load',
+        'expected_work',
         'heard_at',
         'is_listed',
         'missing_since',
@@ -58,8 +59,8 @@
         self.asked_at = math.inf
         self.heard_at = -math.inf
         self.pinged_at = -math.inf
-        self.expected_load = 0
-        self.status = relaying.Status(relaying.State.STARTING, 0, 1, 0)
+        self.expected_work = 0
+        self.status = relaying.Status(relaying.State.STARTING, 0, 0, 1, 0)
 
     def asked(self, now: float) -> None:
         """Record that a message was sent that is answered at once."""
@@ -68,7 +69,7 @@
     def heard(self, status: relaying.Status, now: float) -> None:
         """Take a status that came from the agent itself."""
         self.status = status
-        self.expected_load = 0
+        self.expected_work = 0
         self.heard_at = now
         self.asked_at = math.inf
 
@@ -90,9 +91,15 @@
 
     def fullness(self) -> float:
         """Return its load as a share of its slots, a cold one's raised."""
-        load = self.status.load + self.expected_load
-        share = load / (FULL_LOAD * max(1, self.status.slots))
-        return share + (COLD_PENALTY if self.status.cold_ms else 0)
+        work = self.status.work + self.expected_work
+        load = work + self.status.flows * FLOW_WORK
+        cold = COLD_PENALTY if self.status.cold_ms else 0
+        return load / max(1, self.status.slots) + cold
+
+    def room(self) -> float:
+        """Return how many more requests it takes when all are full."""
+        limit = self.status.slots * (1 + relay_work.QUEUE_SHARE)
+        return limit - self.status.work - self.expected_work
 
 
 class Members:
--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -6,22 +6,42 @@
 
 from egretjunction import addresses
 
+DEFAULT_TARGET_SECONDS = 0.2
+DEFAULT_TIMEOUT_SECONDS = 1.0
+
 
 class Route:
     """One route.
 
     :param address: address and port that clients send to.
     :param weight_by_service: share of new flows by service; unsorted weights.
+    :param priority: of its requests; 0 is the most urgent.
+    :param target_seconds: an answer after this time is late.
+    :param timeout_seconds: an answer after this time is worthless.
     """
 
-    __slots__ = ('address', 'name', 'weight_by_service')
+    __slots__ = (
+        'address',
+        'name',
+        'priority',
+        'target_seconds',
+        'timeout_seconds',
+        'weight_by_service',
+    )
 
     def __init__(
         self,
         name: str,
         address: addresses.Address,
         weight_by_service: dict[str, int],
+        *,
+        priority: int = 0,
+        target_seconds: float = DEFAULT_TARGET_SECONDS,
+        timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS,
     ) -> None:
+        self.priority = priority
+        self.target_seconds = target_seconds
+        self.timeout_seconds = timeout_seconds
         self.name = name
         self.address = address
         self.weight_by_service = weight_by_service
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -32,7 +32,8 @@
     """What an agent tells with every answer.
 
     :param state: state of its backend server.
-    :param load: requests at work and expected, in hundredths of a request.
+    :param work: requests at work, and flows whose first request is expected.
+    :param flows: open flows.
     :param slots: requests that the backend server runs at once.
     :param version: highest version of the configuration that it has heard of.
     :param cold_ms: how much longer the backend server is slow after its start.
@@ -41,7 +42,8 @@
     """
 
     state: State
-    load: int
+    work: int
+    flows: int
     slots: int
     version: int
     cold_ms: int = 0
