A server's silence settles a flow only provisionally; early packets are kept

An agent whose server was not up yet took silence for holding the flow; its later bounce became a reset. And a client one millisecond away answered before the agent's answer had crossed the failure domains, so each placement abroad began a search.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -316,15 +316,17 @@
             return [effects.Send(entry, returned)]
         if flow.is_provisional:
             return self._inquire(packet, entry, 0, now)
-        return self._deliver(flow, packet, now)
+        return self._deliver(flow, packet, entry, now)
 
     def _deliver(
         self,
         flow: _Flow,
         packet: packets.Packet,
+        entry: addresses.Address,
         now: float,
     ) -> list[effects.Effect]:
         flow.used_at = now
+        flow.entry = entry
         if not packet.is_first:
             flow.is_open = True
             flow.acknowledged = packet.acknowledged
@@ -381,7 +383,7 @@
         held = relaying.Held(
             ask.token, packet.key, flow.server_sequence or 0, self.status(now)
         )
-        return [effects.Send(entry, held), *self._deliver(flow, packet, now)]
+        return [effects.Send(entry, held), *self._deliver(flow, packet, entry, now)]
 
     def _inquire(
         self,
@@ -397,9 +399,8 @@
             flow.is_open = True
             flow.is_provisional = True
             self._flow_by_key[packet.key] = flow
-        if token:
-            flow.entry = entry
-            flow.token = token
+        flow.entry = entry
+        flow.token = token or flow.token
         flow.acknowledged = packet.acknowledged
         self._work.given(packet, now)
         number = self._ask(packet, entry, token, now + ASK_SECONDS)
@@ -433,15 +434,16 @@
             if flow is not None and flow.server_sequence is None:
                 self._drop(question.key)
             return []
-        if flow is None or not flow.is_provisional or self.server.is_silent(now):
+        if flow is None or not flow.is_provisional:
+            return []
+        if not self.server.is_heard() or self.server.is_silent(now):
             return []
         return self._settle(question.key, flow, now)
 
     def _settle(self, key: bytes, flow: _Flow, now: float) -> list[effects.Effect]:
         """Conclude that the server holds a flow that it was asked about."""
         flow.is_provisional = False
-        flow.is_confirmed = True
-        if flow.entry is None:
+        if flow.entry is None or not flow.token:
             return []
         held = relaying.Held(flow.token, key, 0, self.status(now))
         return [effects.Send(flow.entry, held)]
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -16,6 +16,7 @@
 SEARCH_SECONDS = 0.08  # an agent's wait for its server, and the way
 SEARCH_LIFE_SECONDS = 1.0
 IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
+EARLY_SECONDS = 0.02  # an agent's answer is at most one way between domains behind
 QUEUE_PACKETS = 32  # both windows of a flow
 SEARCH_WIDTH = 12  # agents asked at once
 MAX_PENDING = 4096
@@ -44,6 +45,7 @@
     __slots__ = (
         'began_at',
         'due_at',
+        'early',
         'is_final',
         'is_waiting',
         'key',
@@ -71,6 +73,7 @@
         self.target_seconds = route.target_seconds
         self.timeout_seconds = min(route.timeout_seconds, ATTEMPT_SECONDS)
         self.tried: set[str] = set()
+        self.early: list[packets.Packet] = []
         self.is_final = False
         self.is_waiting = False
         self.began_at = now
@@ -248,6 +251,12 @@
         now: float,
     ) -> list[effects.Effect]:
         """Offer a first packet to the next member, or let it wait for room."""
+        if offer.early:
+            self._end_offer(token, offer)
+            found: list[effects.Effect] = []
+            for packet in offer.early:
+                found += self._on_unknown(packet, now)
+            return found
         if relay_waiting.is_hopeless(offer, now):
             self._end_offer(token, offer)
             return [self._reset(offer.packet, 'nobody_took_it')]
@@ -315,8 +324,28 @@
             if len(search.queue) < QUEUE_PACKETS:
                 search.queue.append(packet)
             return []
-        if token is not None:
-            self._end_offer(token, self._offer_by_token[token])
+        offer = self._offer_by_token.get(token or 0)
+        if offer is not None and token is not None:
+            return self._on_early(token, offer, packet, now)
+        return self._search(packet, now)
+
+    def _on_early(
+        self,
+        token: int,
+        offer: _Offer,
+        packet: packets.Packet,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Keep what a client sends before its agent's answer has come here.
+
+        An agent in another failure domain answers the client sooner than this entry.
+        """
+        if len(offer.early) < QUEUE_PACKETS:
+            offer.early.append(packet)
+        offer.due_at = min(offer.due_at, now + EARLY_SECONDS)
+        return []
+
+    def _search(self, packet: packets.Packet, now: float) -> list[effects.Effect]:
         destination = self._codec.destination_of(packet.key)
         services = self.routes.services_of(destination)
         if not services or self.routes.route_at(destination) is None:
@@ -409,7 +438,7 @@
                 final=offer.is_final,
                 ms=round((now - offer.began_at) * 1000, 1),
             )
-            return [placed]
+            return [placed, *self._flush(offer.early, now)]
         search = self._search_by_token[token]
         self._end_search(token, search)
         flow.owner = member.address
@@ -429,6 +458,16 @@
             ),
         ]
 
+    def _flush(
+        self,
+        early: list[packets.Packet],
+        now: float,
+    ) -> list[effects.Effect]:
+        found: list[effects.Effect] = []
+        for packet in early:
+            found += self.on_client_packet(packet, now)
+        return found
+
     def _on_passed(
         self,
         passed: relaying.Passed,
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -135,6 +135,10 @@
         self._answered_at = now
         self._waiting_since = math.inf
 
+    def is_heard(self) -> bool:
+        """Tell whether it has given any sign of life to this process."""
+        return self._latest is not None or self._answered_at > -math.inf
+
     def is_silent(self, now: float) -> bool:
         """Tell whether it owes an answer for longer than servers take."""
         return now - self._waiting_since > ANSWER_SECONDS
