Start-up of the relay without asyncio and tornado

A loop on selectors, HTTP by h11 and a thread per call that waits replace asyncio and tornado in the relay's daemons; the QUIC side keeps them. Of packets that can no longer be answered in time the client heard of last goes first.

--- a/src/egretjunction/_udp.py
+++ b/src/egretjunction/_udp.py
@@ -1,10 +1,8 @@
-"""A UDP socket on the event loop, read in batches."""
+"""A UDP socket on an event loop, read in batches."""
 
 import socket
 import typing
 
-from tornado import ioloop
-
 from egretjunction import addresses
 
 BATCH_SIZE = 64
@@ -14,16 +12,32 @@
 Receive = typing.Callable[[bytes, tuple[str, int]], None]
 
 
+class Loop(typing.Protocol):
+    """What a socket needs of an event loop; asyncio's has it."""
+
+    def add_reader(self, source: socket.socket, ready: typing.Callable) -> typing.Any:
+        """Call a function whenever a socket can be read."""
+
+    def remove_reader(self, source: socket.socket) -> typing.Any:
+        """Stop that."""
+
+
 class DatagramSocket:
     """One bound UDP socket that hands each datagram to a function.
 
     :param address: where to bind.
     :param receive: called with a datagram and its sender.
+    :param loop: event loop that tells when there is something to read.
     """
 
     __slots__ = ('_loop', '_receive', '_socket', 'dropped')
 
-    def __init__(self, address: addresses.Address, receive: Receive) -> None:
+    def __init__(
+        self,
+        address: addresses.Address,
+        receive: Receive,
+        loop: Loop,
+    ) -> None:
         self._receive = receive
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -31,8 +45,8 @@
         self._socket.setblocking(False)
         self._socket.bind(address)
         self.dropped = 0
-        self._loop = ioloop.IOLoop.current()
-        self._loop.add_handler(self._socket, self._on_ready, ioloop.IOLoop.READ)
+        self._loop = loop
+        self._loop.add_reader(self._socket, self._on_ready)
 
     @property
     def address(self) -> addresses.Address:
@@ -48,10 +62,10 @@
 
     def close(self) -> None:
         """Stop reading and close the socket."""
-        self._loop.remove_handler(self._socket)
+        self._loop.remove_reader(self._socket)
         self._socket.close()
 
-    def _on_ready(self, _socket: object, _events: int) -> None:
+    def _on_ready(self) -> None:
         for _ in range(BATCH_SIZE):
             try:
                 datagram, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/agent.py
@@ -118,7 +118,11 @@
 
     async def run(self) -> None:
         """Serve until a drain has finished."""
-        self._data = _udp.DatagramSocket(self._given.data, self._arrivals.receive)
+        self._data = _udp.DatagramSocket(
+            self._given.data,
+            self._arrivals.receive,
+            asyncio.get_running_loop(),
+        )
         self._arrivals.transmit = self._data.send
         self._register_figures()
         admin = _admin.serve(
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -52,6 +52,7 @@
         'packet',
         'priority',
         'route',
+        'seen_at',
         'service',
         'target_seconds',
         'timeout_seconds',
@@ -77,6 +78,7 @@
         self.is_final = False
         self.is_waiting = False
         self.began_at = now
+        self.seen_at = now
         self.due_at = now
 
 
@@ -224,6 +226,7 @@
         token = self._token_by_key.get(packet.key)
         offer = self._offer_by_token.get(token or 0)
         if offer is not None and token is not None:
+            offer.seen_at = now
             return [] if offer.is_waiting else self._advance_offer(token, offer, now)
         flow = self._flow_by_key.get(packet.key)
         if flow is not None:
--- a/src/egretjunction/decisions/relay_waiting.py
+++ b/src/egretjunction/decisions/relay_waiting.py
@@ -15,12 +15,14 @@
     """A first packet that waits.
 
     :param began_at: when it arrived.
+    :param seen_at: when its client was heard of last: it or a copy of it.
     :param priority: 0 is the most urgent.
     :param target_seconds: an answer after this time is late.
     :param timeout_seconds: an answer after this time is worthless.
     """
 
     began_at: float
+    seen_at: float
     priority: int
     target_seconds: float
     timeout_seconds: float
@@ -40,8 +42,9 @@
 def next_of(waiting: typing.Iterable[Waiting], now: float) -> Waiting | None:
     """Return the one to place next, None when nothing waits.
 
-    Fresh ones go first, by urgency and then by arrival; the others follow by their
-    deadlines.
+    Fresh ones go first, by urgency and then by arrival. Of the others the client
+    heard of last goes first: the longer a client is silent, the likelier it has
+    given up, and a slot kept for it is idle.
     """
     return min(waiting, key=lambda each: _rank(each, now), default=None)
 
@@ -49,4 +52,4 @@
 def _rank(waiting: Waiting, now: float) -> tuple[bool, int, float]:
     if is_fresh(waiting, now):
         return False, waiting.priority, waiting.began_at
-    return True, 0, waiting.began_at + waiting.timeout_seconds
+    return True, 0, -waiting.seen_at
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/entry.py
@@ -63,7 +63,11 @@
 
     async def run(self) -> None:
         """Serve until a drain has finished."""
-        self._data = _udp.DatagramSocket(self._given.data, self._on_datagram)
+        self._data = _udp.DatagramSocket(
+            self._given.data,
+            self._on_datagram,
+            asyncio.get_running_loop(),
+        )
         self._links.listen(self._given.control)
         self._register_figures()
         admin = _admin.serve(
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -1,11 +1,9 @@
 """What both daemons that relay share: effects, signals, calls to the store."""
 
-import asyncio
-import signal
+import threading
+import time
 import typing
 
-from tornado import ioloop
-
 from egretjunction import _udp
 from egretjunction import errors
 from egretjunction.decisions import relay_effects as effects
@@ -15,8 +13,7 @@
 
 RETRY_SECONDS = 0.4  # an outage of the store ends at most this long before a call
 Logger = typing.Callable[..., None]
-Task = asyncio.Task[None]
-Work = typing.Coroutine[typing.Any, typing.Any, None]
+Work = typing.Callable[[], None]
 
 
 class Outlet:
@@ -65,37 +62,24 @@
         self._log('flow_reset', flow=effect.key.hex(), reason=effect.reason)
 
 
-def on_signals(
-    terminate: typing.Callable[[], None],
-    reload: typing.Callable[[], None],
-) -> None:
-    """Call functions when the process is told to end or to read its settings."""
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, terminate)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-
-
-def start(begin: typing.Callable[[], Work], log: Logger) -> Task:
-    """Begin a task; when it fails, log that and begin it anew.
-
-    :param begin: returns what the task does.
-    """
-    return asyncio.get_running_loop().create_task(_repeated(begin, log))
+def start(work: Work, log: Logger) -> threading.Thread:
+    """Begin a thread; when its work fails, log that and begin it anew."""
+    thread = threading.Thread(target=_repeat, args=(work, log), daemon=True)
+    thread.start()
+    return thread
 
 
-async def _repeated(begin: typing.Callable[[], Work], log: Logger) -> None:
+def _repeat(work: Work, log: Logger) -> None:
     while True:
         try:
-            await begin()
-        except Exception as error:  # a task must outlive faults that nobody foresaw
+            return work()
+        except Exception as error:  # a thread must outlive faults nobody foresaw
             log('task_failed', error=repr(error))
-            await asyncio.sleep(RETRY_SECONDS)
-        else:
-            return
+            time.sleep(RETRY_SECONDS)
 
 
-async def until_answered(
-    call: typing.Callable[[], typing.Awaitable[typing.Any]],
+def until_answered(
+    call: typing.Callable[[], typing.Any],
     log: Logger,
     name: str,
 ) -> typing.Any:
@@ -107,19 +91,19 @@
     failures = 0
     while True:
         try:
-            answer = await call()
+            answer = call()
         except errors.PlatformUnavailableError as error:
             failures += 1
             if failures == 1:
                 log('store_lost', call=name, error=str(error))
-            await asyncio.sleep(RETRY_SECONDS)
+            time.sleep(RETRY_SECONDS)
             continue
         if failures:
             log('store_regained', call=name, failures=failures)
         return answer
 
 
-async def follow_prefix(
+def follow_prefix(
     client: store.Store,
     prefix: str,
     wait_seconds: float,
@@ -134,7 +118,7 @@
     :param on_changes: gets what has changed since.
     """
     while True:
-        listing = await until_answered(
+        listing = until_answered(
             lambda: client.list_prefix(prefix), log, f'list {prefix}'
         )
         on_listing(listing)
@@ -142,7 +126,7 @@
         try:
             while True:
                 after = revision
-                changes = await until_answered(
+                changes = until_answered(
                     lambda after=after: client.watch(prefix, after, wait_seconds),
                     log,
                     f'watch {prefix}',
@@ -151,10 +135,3 @@
                 revision = max(revision, changes.revision)
         except store.HistoryGoneError:
             log('history_gone', prefix=prefix, revision=revision)
-
-
-def every(seconds: float, call: typing.Callable[[], None]) -> ioloop.PeriodicCallback:
-    """Call a function again and again, beginning now."""
-    periodic = ioloop.PeriodicCallback(call, seconds * 1000)
-    periodic.start()
-    return periodic
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -1,15 +1,15 @@
 """The agent that relays: owns the flows of the backend server beside it."""
 
-import asyncio
+import signal
+import threading
 import time
 
-from tornado import httputil
-
 from egretjunction import _udp
 from egretjunction import errors
 from egretjunction.decisions import relay_agent
 from egretjunction.decisions import relay_server
 from egretjunction.relay import _http
+from egretjunction.relay import _loop
 from egretjunction.relay import _process
 from egretjunction.relay import adapter
 from egretjunction.relay import listings
@@ -41,14 +41,18 @@
         self._clock = time.monotonic
         self._server = relay_server.Server(given.service, given.heartbeat_ms / 1000)
         self._flows = relay_agent.RelayAgent(self._server, platform.codec)
-        self._listing: asyncio.Task[None] | None = None
+        self._listing: threading.Thread | None = None
         self._ending_since: float | None = None
-        self._stopped = asyncio.Event()
+        self._loop = _loop.Loop()
 
-    async def run(self) -> None:
+    def run(self) -> None:
         """Serve until a drain has finished."""
-        self._entries = _udp.DatagramSocket(self._given.entries, self._on_entry)
-        self._outbound = _udp.DatagramSocket(self._given.outbound, self._on_server)
+        self._entries = _udp.DatagramSocket(
+            self._given.entries, self._on_entry, self._loop
+        )
+        self._outbound = _udp.DatagramSocket(
+            self._given.outbound, self._on_server, self._loop
+        )
         self._outlet = _process.Outlet(
             self._platform.codec,
             self._log,
@@ -59,15 +63,16 @@
         is_ready = _http.readiness(
             self._platform.readiness_path, lambda: self._ending_since is None
         )
-        _http.listen(self._given.ready, is_ready)
-        _http.listen(self._given.announcements, self._on_announcement)
-        _process.on_signals(self.drain, self._reload)
-        _process.every(TICK_SECONDS, self._tick)
+        _http.Server(self._given.ready, is_ready, self._loop)
+        _http.Server(self._given.announcements, self._on_announcement, self._loop)
+        self._loop.on_signal(signal.SIGTERM, self.drain)
+        self._loop.on_signal(signal.SIGHUP, self._reload)
+        self._loop.every(TICK_SECONDS, self._tick)
         self._log('agent_started', entries=str(self._given.entries))
         self._list_self()
-        await self._stopped.wait()
+        self._loop.run()
         if self._server.is_gone:
-            await self._unlist_self()
+            self._unlist_self()
         self._log('agent_stopped', flows=self._flows.flow_count)
 
     def drain(self) -> None:
@@ -105,14 +110,14 @@
             return
         self._outlet.apply(self._flows.on_server_packet(packet, self._clock()))
 
-    def _on_announcement(self, request: httputil.HTTPServerRequest) -> _http.Answer:
+    def _on_announcement(self, request: _http.Request) -> _http.Answer:
         try:
             announced = self._platform.read_announcement(
-                request.method or '', request.path or '', request.body
+                request.method, request.path, request.body
             )
         except errors.PlatformFormatError as error:
             self._log('announcement_malformed', error=str(error))
-            return 400, b'{}'
+            return _http.BAD_REQUEST, b'{}'
         now = self._clock()
         if isinstance(announced, adapter.Leave):
             self._outlet.apply(self._flows.on_left(announced.name, now))
@@ -128,14 +133,14 @@
         waited = now - self._ending_since
         is_quiet = self._server.is_gone or not self._flows.busy
         if waited > DRAIN_SECONDS or (is_quiet and waited > QUIET_SECONDS):
-            self._stopped.set()
+            self._loop.stop()
 
     def _list_self(self) -> None:
         """Make sure that the store lists this agent, unless that goes on already."""
-        if self._listing is None or self._listing.done():
+        if self._listing is None or not self._listing.is_alive():
             self._listing = _process.start(self._keep_listed, self._log)
 
-    async def _keep_listed(self) -> None:
+    def _keep_listed(self) -> None:
         key, data = listings.agent_item(
             self._given.name,
             self._given.service,
@@ -143,33 +148,35 @@
             self._given.entries,
         )
         client = self._platform.store
-        listing = await _process.until_answered(
+        listing = _process.until_answered(
             lambda: client.list_prefix(listings.PREFIX), self._log, 'list processes'
         )
         found = [listings.read_entry(item) for item in listing.items]
         entries = [address for address in found if address is not None]
-        self._outlet.apply(self._flows.greet(entries, self._clock()))
+        self._loop.post(
+            lambda: self._outlet.apply(self._flows.greet(entries, self._clock())),
+        )
         if any(item.key == key and item.data == data for item in listing.items):
             return
-        await _process.until_answered(
+        _process.until_answered(
             lambda: client.put(key, data), self._log, 'list self'
         )
         self._log('agent_listed', key=key)
 
-    async def _unlist_self(self) -> None:
+    def _unlist_self(self) -> None:
         key = listings.AGENTS + self._given.name
         try:
-            item = await self._platform.store.get(key)
+            item = self._platform.store.get(key)
             if item.revision:
-                await self._platform.store.delete(key, item.revision)
+                self._platform.store.delete(key, item.revision)
         except (errors.PlatformUnavailableError, errors.ConflictError) as error:
             self._log('agent_still_listed', error=str(error))
 
 
-async def start(
+def start(
     given: settings.RelayAgent,
     platform: adapter.Adapter,
     log: _process.Logger,
 ) -> None:
     """Run this role until it has drained."""
-    await RelayAgent(given, platform, log).run()
+    RelayAgent(given, platform, log).run()
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -1,8 +1,9 @@
 """The entry that relays: takes clients' packets and finds the agents that own them."""
 
-import asyncio
-import contextlib
+import signal
+import threading
 import time
+import typing
 
 from egretjunction import _udp
 from egretjunction import errors
@@ -10,6 +11,7 @@
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
 from egretjunction.relay import _http
+from egretjunction.relay import _loop
 from egretjunction.relay import _process
 from egretjunction.relay import adapter
 from egretjunction.relay import listings
@@ -57,30 +59,34 @@
         self._early_packets: list[packets.Packet] = []
         self._draining_since: float | None = None
         self._client_at = float('-inf')
-        self._stopped = asyncio.Event()
+        self._newer_version = threading.Event()
+        self._loop = _loop.Loop()
 
-    async def run(self) -> None:
+    def run(self) -> None:
         """Serve until a drain has finished."""
-        self._agents = _udp.DatagramSocket(self._given.agents, self._on_agent)
-        self._clients = _udp.DatagramSocket(self._given.clients, self._on_client)
+        self._agents = _udp.DatagramSocket(
+            self._given.agents, self._on_agent, self._loop
+        )
+        self._clients = _udp.DatagramSocket(
+            self._given.clients, self._on_client, self._loop
+        )
         self._outlet = _process.Outlet(
             self._platform.codec, self._log, self._agents, self._clients
         )
-        _http.listen(
-            self._given.ready,
-            _http.readiness(self._platform.readiness_path, self._is_ready),
-        )
-        _process.on_signals(self.drain, self._reload)
-        _process.every(TICK_SECONDS, self._tick)
+        is_ready = _http.readiness(self._platform.readiness_path, self._is_ready)
+        _http.Server(self._given.ready, is_ready, self._loop)
+        self._loop.on_signal(signal.SIGTERM, self.drain)
+        self._loop.on_signal(signal.SIGHUP, self._reload)
+        self._loop.every(TICK_SECONDS, self._tick)
         self._log('entry_started', clients=str(self._given.clients))
-        tasks = [
-            _process.start(self._follow_configuration, self._log),
-            _process.start(self._follow_members, self._log),
-            _process.start(self._read_newer_versions, self._log),
-        ]
-        await self._stopped.wait()
-        for task in tasks:
-            task.cancel()
+        for work in (
+            self._follow_configuration,
+            self._follow_members,
+            self._list_self,
+            self._read_newer_versions,
+        ):
+            _process.start(work, self._log)
+        self._loop.run()
         self._log('entry_stopped', flows=self._flows.flow_count)
 
     def drain(self) -> None:
@@ -134,23 +140,28 @@
     def _tick(self) -> None:
         now = self._clock()
         self._outlet.apply(self._flows.tick(now))
+        if self._flows.newest_version > self._routes.version:
+            self._newer_version.set()
         if self._draining_since is None:
             return
         drained = now - self._draining_since
         is_quiet = now - self._client_at > QUIET_SECONDS
         if drained > MAX_DRAIN_SECONDS or (drained > MIN_DRAIN_SECONDS and is_quiet):
-            self._stopped.set()
+            self._loop.stop()
 
-    async def _follow_configuration(self) -> None:
-        await _process.follow_prefix(
+    def _follow_configuration(self) -> None:
+        _process.follow_prefix(
             self._platform.store,
             self._platform.configuration_key,
             CONFIGURATION_WAIT_SECONDS,
-            self._on_configuration_listing,
-            self._on_configuration_changes,
+            lambda listing: self._post(self._on_configuration_listing, listing),
+            lambda changes: self._post(self._on_configuration_changes, changes),
             self._log,
         )
 
+    def _post(self, call: typing.Callable[[typing.Any], None], news: object) -> None:
+        self._loop.post(lambda: call(news))
+
     def _on_configuration_listing(self, listing: store.Listing) -> None:
         for item in listing.items:
             self._adopt(item)
@@ -176,39 +187,37 @@
             )
             self._handle_early_packets()
 
-    async def _read_newer_versions(self) -> None:
+    def _read_newer_versions(self) -> None:
         """Read the configuration when an agent has heard of a newer version."""
         key = self._platform.configuration_key
         while True:
-            await asyncio.sleep(NEWER_SECONDS)
-            if self._flows.newest_version <= self._routes.version:
-                continue
+            self._newer_version.wait()
             try:
-                self._adopt(await self._platform.store.get(key))
+                self._post(self._adopt, self._platform.store.get(key))
             except errors.PlatformUnavailableError as error:
                 self._log('newer_version_unread', error=str(error))
+            time.sleep(NEWER_SECONDS)
+            self._newer_version.clear()
+
+    def _follow_members(self) -> None:
+        _process.follow_prefix(
+            self._platform.store,
+            listings.AGENTS,
+            MEMBERS_WAIT_SECONDS,
+            lambda listing: self._post(self._on_members_listing, listing),
+            lambda changes: self._post(self._on_members_changes, changes),
+            self._log,
+        )
 
-    async def _follow_members(self) -> None:
+    def _list_self(self) -> None:
         key, data = listings.entry_item(
             self._given.name, self._given.domain, self._given.agents
         )
-        own = _process.start(lambda: self._list_self(key, data), self._log)
-        with contextlib.closing(_Cancelling(own)):
-            await _process.follow_prefix(
-                self._platform.store,
-                listings.AGENTS,
-                MEMBERS_WAIT_SECONDS,
-                self._on_members_listing,
-                self._on_members_changes,
-                self._log,
-            )
-
-    async def _list_self(self, key: str, data: bytes) -> None:
-        item = await _process.until_answered(
+        item = _process.until_answered(
             lambda: self._platform.store.get(key), self._log, 'get own listing'
         )
         if item.data != data:
-            await _process.until_answered(
+            _process.until_answered(
                 lambda: self._platform.store.put(key, data), self._log, 'list self'
             )
 
@@ -243,23 +252,10 @@
             self._log('member_listed', member=member.name, service=member.service)
 
 
-class _Cancelling:
-    """Cancels a task when it is closed."""
-
-    __slots__ = ('_task',)
-
-    def __init__(self, task: asyncio.Task[None]) -> None:
-        self._task = task
-
-    def close(self) -> None:
-        """Cancel the task."""
-        self._task.cancel()
-
-
-async def start(
+def start(
     given: settings.RelayEntry,
     platform: adapter.Adapter,
     log: _process.Logger,
 ) -> None:
     """Run this role until it has drained."""
-    await RelayEntry(given, platform, log).run()
+    RelayEntry(given, platform, log).run()
--- a/src/egretjunction/relay/running.py
+++ b/src/egretjunction/relay/running.py
@@ -13,7 +13,7 @@
 Connect = typing.Callable[[int, addresses.Address], adapter.Adapter]
 
 
-async def run(role: str, settings_path: str, connect: Connect) -> None:
+def run(role: str, settings_path: str, connect: Connect) -> None:
     """Run a daemon until it has drained.
 
     :param role: ``entry`` or ``agent``.
@@ -28,7 +28,7 @@
     given = settings.read(_read_text(settings_path), settings_path, _KIND_BY_ROLE[role])
     platform = connect(given.client_port, given.platform)
     module = importlib.import_module(f'egretjunction.relay.{role}')
-    await module.start(given, platform, _log)
+    module.start(given, platform, _log)
 
 
 def _read_text(path: str) -> str:
--- a/src/egretjunction/relay/store.py
+++ b/src/egretjunction/relay/store.py
@@ -46,27 +46,27 @@
 class Store(typing.Protocol):
     """Client of the service.
 
-    Every method raises ``errors.PlatformUnavailableError`` when the service does
-    not answer; for a write, ``errors.NotKnownError`` says that it may have
-    taken effect.
+    Every method waits for the answer, in the thread that calls it. Every one raises 
+    ``errors.PlatformUnavailableError`` when the service does not answer; for a
+    write, ``errors.NotKnownError`` says that it may have taken effect.
     """
 
-    async def get(self, key: str) -> Item:
+    def get(self, key: str) -> Item:
         """Return a key's item."""
 
-    async def list_prefix(self, prefix: str) -> Listing:
+    def list_prefix(self, prefix: str) -> Listing:
         """Return the items whose key begins with a prefix."""
 
-    async def watch(self, prefix: str, revision: int, wait_seconds: float) -> Changes:
+    def watch(self, prefix: str, revision: int, wait_seconds: float) -> Changes:
         """Wait for changes after a revision.
 
         :raises HistoryGoneError: when they are not available any more.
         """
 
-    async def put(self, key: str, data: bytes) -> None:
+    def put(self, key: str, data: bytes) -> None:
         """Write a key, whatever it held."""
 
-    async def delete(self, key: str, revision: int) -> None:
+    def delete(self, key: str, revision: int) -> None:
         """Remove a key if it still has a revision.
 
         :raises errors.ConflictError: when it has another one.
--- a/src/egretjunction/standins/fabric.py
+++ b/src/egretjunction/standins/fabric.py
@@ -48,7 +48,11 @@
             jitter_seconds=given.jitter_seconds,
         )
         self._entries = list(given.entries)
-        self._answers = _udp.DatagramSocket(given.answers, self._on_answer)
+        self._answers = _udp.DatagramSocket(
+            given.answers,
+            self._on_answer,
+            asyncio.get_running_loop(),
+        )
         self._socket_by_service = {
             service: self._listen(service) for service in given.services
         }
@@ -62,7 +66,7 @@
         def receive(payload: bytes, caller: tuple[str, int]) -> None:
             self._on_caller(service, payload, caller)
 
-        return _udp.DatagramSocket(service, receive)
+        return _udp.DatagramSocket(service, receive, asyncio.get_running_loop())
 
     def _on_caller(
         self,
