--- /dev/null
+++ b/tests/decisions/test_relay_routes.py
@@ -0,0 +1,42 @@
+"""Routes in force never go back, and know where flows were sent before."""
+
+from egretjunction import addresses
+from egretjunction.decisions import relay_routes
+
+ADDRESS = addresses.Address('198.18.0.1', 443)
+
+
+def _table(version, **weight_by_service):
+    route = relay_routes.Route('r', ADDRESS, weight_by_service)
+    return relay_routes.RouteTable(version, [route])
+
+
+def test_older_version_is_refused():
+    routes = relay_routes.Routes()
+    assert routes.adopt(_table(7, bookings=1))
+    assert not routes.adopt(_table(4, surveys=1))
+    assert not routes.adopt(_table(7, surveys=1))
+    assert list(routes.route_at(ADDRESS).weight_by_service) == ['bookings']
+
+
+def test_services_of_earlier_versions_are_searched_too():
+    routes = relay_routes.Routes()
+    routes.adopt(_table(1, bookings=1))
+    routes.adopt(_table(2, surveys=1))
+    assert routes.services_of(ADDRESS) == ['bookings', 'surveys']
+
+
+def test_new_flows_follow_the_weights():
+    route = _table(1, bookings=90, surveys=10).route_by_address[ADDRESS]
+    chosen = [
+        relay_routes.service_of(route, number.to_bytes(12)) for number in range(2000)
+    ]
+    assert 0.86 < chosen.count('bookings') / len(chosen) < 0.94
+
+
+def test_service_without_weight_gets_no_flow():
+    route = _table(1, bookings=0, surveys=1).route_by_address[ADDRESS]
+    chosen = {
+        relay_routes.service_of(route, number.to_bytes(12)) for number in range(200)
+    }
+    assert chosen == {'surveys'}
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemons that relay."""
--- /dev/null
+++ b/tests/relay_builders.py
@@ -0,0 +1,167 @@
+"""Builds what the tests of relayed flows need, with a packet format of their own."""
+
+import msgspec
+
+from egretjunction import addresses
+from egretjunction import errors
+from egretjunction.decisions import relay_agent
+from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_entry
+from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_routes
+from egretjunction.decisions import relay_server
+from egretjunction.relay import packets
+from egretjunction.wire import relaying
+
+ENTRY = addresses.Address('127.0.0.1', 7000)
+OTHER_ENTRY = addresses.Address('127.0.0.2', 7000)
+ROUTE = addresses.Address('198.18.0.1', 443)
+SERVICE = 'bookings'
+KEY = b'\x64\x40\x00\x07\x9c\x41' + addresses.pack(ROUTE)
+
+
+class Codec:
+    """Packets as lists: key, sequence, acknowledged, data bytes, flags, token."""
+
+    def from_client(self, raw):
+        return self._read(raw)
+
+    def from_server(self, raw):
+        return self._read(raw)
+
+    def with_token(self, raw, token):
+        fields = msgspec.msgpack.decode(raw)
+        return msgspec.msgpack.encode([*fields[:5], token])
+
+    def restored(self, raw):
+        fields = msgspec.msgpack.decode(raw)
+        kept = [flag for flag in fields[4] if flag != 'is_bounced']
+        return msgspec.msgpack.encode([*fields[:4], kept, 0])
+
+    def reset(self, key, sequence):
+        return encode(key, sequence=sequence, flags=('is_reset',))
+
+    def client_of(self, key):
+        return addresses.unpack(key[:6])
+
+    def destination_of(self, key):
+        return addresses.unpack(key[6:12])
+
+    def _read(self, raw):
+        try:
+            key, sequence, acknowledged, data_bytes, flags, token = (
+                msgspec.msgpack.decode(raw)
+            )
+        except (msgspec.DecodeError, ValueError) as error:
+            raise errors.PacketError(str(error)) from error
+        return packets.Packet(
+            key,
+            raw,
+            sequence,
+            acknowledged,
+            data_bytes,
+            token=token,
+            **dict.fromkeys(flags, True),
+        )
+
+
+def encode(key=KEY, sequence=0, acknowledged=0, data_bytes=0, flags=(), token=0):
+    """Return the bytes of a packet."""
+    return msgspec.msgpack.encode(
+        [key, sequence, acknowledged, data_bytes, list(flags), token]
+    )
+
+
+def packet(key=KEY, sequence=0, acknowledged=0, data_bytes=0, flags=(), token=0):
+    """Return a packet."""
+    raw = encode(key, sequence, acknowledged, data_bytes, flags, token)
+    return Codec().from_client(raw)
+
+
+def first(key=KEY, sequence=100, copies=0):
+    """Return a first packet."""
+    return packet(key, sequence, copies, flags=('is_first',))
+
+
+def opening(key=KEY, sequence=500):
+    """Return a server's answer to a first packet."""
+    return packet(key, sequence, 101, flags=('is_opening',))
+
+
+def request(key=KEY, sequence=101, acknowledged=501, data_bytes=200):
+    """Return a client's packet with data."""
+    return packet(key, sequence, acknowledged, data_bytes)
+
+
+def answer(key=KEY, sequence=501, acknowledged=301, data_bytes=900):
+    """Return a server's packet with data."""
+    return packet(key, sequence, acknowledged, data_bytes)
+
+
+def bounced(given, token):
+    """Return a packet that a server gives back."""
+    flags = ['is_bounced'] + (['is_first'] if given.is_first else [])
+    return packet(
+        given.key, given.sequence, given.acknowledged, given.data_bytes, flags, token
+    )
+
+
+def flow_key(number):
+    """Return the key of a flow by its client's port."""
+    return KEY[:4] + number.to_bytes(2) + KEY[6:]
+
+
+def beat(name='i-1', born=1000, sequence=1, slots=2, **fields):
+    """Return a heartbeat."""
+    return relay_server.Heartbeat(name, SERVICE, born, sequence, slots, **fields)
+
+
+def agent(is_known=True, slots=2):
+    """Return an agent whose server is up, known since its birth or not."""
+    server = relay_server.Server(SERVICE, 1.0)
+    built = relay_agent.RelayAgent(server, Codec())
+    built.on_heartbeat(beat(sequence=1 if is_known else 9, slots=slots), 0)
+    return built
+
+
+def offer(given, token=1, is_final=False, service=SERVICE):
+    """Return an entry's offer of a first packet."""
+    return relaying.Offer(token, relaying.tag_of(service), is_final, given.raw)
+
+
+def member_address(name):
+    """Return the address of a member by the number at the end of its name."""
+    return addresses.Address(f'10.0.0.{name.rpartition("-")[2]}', 8000)
+
+
+def status(state=relaying.State.READY, work=0, flows=0, slots=2, **fields):
+    """Return an agent's status."""
+    return relaying.Status(state, work, flows, slots, fields.pop('version', 1), **fields)
+
+
+def entry(*names, domain='a', routes=None):
+    """Return an entry that has heard from some ready members of its own domain."""
+    members = relay_members.Members(domain)
+    in_force = relay_routes.Routes()
+    route = relay_routes.Route('r', ROUTE, {SERVICE: 1})
+    in_force.adopt(routes or relay_routes.RouteTable(1, [route]))
+    built = relay_entry.RelayEntry(members, in_force, Codec())
+    for name in names:
+        listed = relay_members.Member(name, SERVICE, domain, member_address(name))
+        members.list_member(listed)
+        listed.heard(status(), 0)
+    return built
+
+
+def sent(found, kind):
+    """Return the messages of a kind among effects, with their addresses."""
+    return [
+        (effect.message, effect.address)
+        for effect in found
+        if isinstance(effect, effects.Send) and isinstance(effect.message, kind)
+    ]
+
+
+def of_kind(found, kind):
+    """Return the effects of a kind."""
+    return [effect for effect in found if isinstance(effect, kind)]
