--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -153,6 +153,15 @@
                     flow.token, packet.key, packet.sequence, self.status(now)
                 )
                 found.append(effects.Send(flow.entry, held))
+                found.append(
+                    effects.Log(
+                        'flow_taken',
+                        flow=packet.key.hex(),
+                        server=self.server.name,
+                        work=held.status.work,
+                        ms=_milliseconds(now - flow.opened_at),
+                    ),
+                )
         if not packet.is_opening:
             flow.is_confirmed = True
         if packet.data_bytes:
@@ -271,7 +280,14 @@
             if reason is relaying.Reason.BUSY:
                 self._waiting_entries.add(entry)
             passed = relaying.Passed(offer.token, reason, self.status(now))
-            return [effects.Send(entry, passed)]
+            told = effects.Log(
+                'flow_passed',
+                flow=self._codec.from_client(offer.packet).key.hex(),
+                reason=reason.name.lower(),
+                work=passed.status.work,
+                state=passed.status.state.name.lower(),
+            )
+            return [effects.Send(entry, passed), told]
         packet = self._codec.from_client(offer.packet)
         flow = self._flow_by_key.get(packet.key)
         if flow is None or flow.is_open or flow.ended_at is not None:
@@ -446,7 +462,8 @@
         if flow.entry is None or not flow.token:
             return []
         held = relaying.Held(flow.token, key, 0, self.status(now))
-        return [effects.Send(flow.entry, held)]
+        told = effects.Log('flow_adopted', flow=key.hex(), server=self.server.name)
+        return [effects.Send(flow.entry, held), told]
 
     def _on_bounced(
         self,
@@ -525,3 +542,6 @@
             if now - heard_at > ENTRY_SECONDS:
                 self._heard_by_entry.pop(entry)
 
+
+def _milliseconds(seconds: float) -> float:
+    return round(seconds * 1000, 1)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -273,10 +273,20 @@
             untried = [member for member in untried if member.room() > 0]
         if untried:
             return [self._offer(token, offer, untried[0], now)]
-        offer.is_waiting = True
         offer.tried.clear()
         offer.due_at = now + WAITING_SECONDS
-        return []
+        if offer.is_waiting:
+            return []
+        offer.is_waiting = True
+        return [
+            effects.Log(
+                'flow_waiting',
+                flow=offer.key.hex(),
+                route=offer.route,
+                version=self.routes.version,
+                members=len(ranked),
+            ),
+        ]
 
     def _offer(
         self,
@@ -439,7 +449,7 @@
                 flows=member.status.flows,
                 tried=len(offer.tried),
                 final=offer.is_final,
-                ms=round((now - offer.began_at) * 1000, 1),
+                ms=_milliseconds(now - offer.began_at),
             )
             return [placed, *self._flush(offer.early, now)]
         search = self._search_by_token[token]
@@ -451,7 +461,7 @@
             flow=held.key.hex(),
             member=member.name,
             packets=len(search.queue),
-            ms=round((now - search.began_at) * 1000, 1),
+            ms=_milliseconds(now - search.began_at),
         )
         return [
             located,
@@ -576,3 +586,7 @@
         for member in self.members.forgettable(now):
             if not member.is_listed:
                 self.members.remove(member)
+
+
+def _milliseconds(seconds: float) -> float:
+    return round(seconds * 1000, 1)
--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -4,6 +4,7 @@
 import typing
 
 import h11
+import msgspec
 
 from egretjunction import addresses
 from egretjunction.relay import _loop
@@ -160,3 +161,23 @@
         return (OK if is_ready() else UNAVAILABLE), b'{}'
 
     return handle
+
+
+def figures(
+    read: typing.Callable[[], bytes],
+    status: typing.Callable[[], dict[str, object]],
+) -> Handler:
+    """Return a handler of ``/metrics`` and ``/status``.
+
+    :param read: returns all figures as text.
+    :param status: returns what the process believes.
+    """
+
+    def handle(request: Request) -> Answer:
+        if request.path == '/metrics':
+            return OK, read()
+        if request.path == '/status':
+            return OK, msgspec.json.encode(status())
+        return NOT_FOUND, b'{}'
+
+    return handle
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -6,12 +6,14 @@
 
 from egretjunction import _udp
 from egretjunction import errors
+from egretjunction import metrics
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.relay import packets
 from egretjunction.relay import store
 from egretjunction.wire import relaying
 
 RETRY_SECONDS = 0.4  # an outage of the store ends at most this long before a call
+MILLISECONDS = 1_000
 Logger = typing.Callable[..., None]
 Work = typing.Callable[[], None]
 
@@ -20,23 +22,26 @@
     """Carries out the effects of decisions.
 
     :param codec: writes resets.
+    :param figures: counts every event, and the time that it took.
     :param own: socket that messages to other processes leave by.
     :param to_client: socket that packets to clients leave by.
     :param to_server: gives a packet and a token to the backend server.
     """
 
-    __slots__ = ('_codec', '_log', '_own', '_to_client', '_to_server')
+    __slots__ = ('_codec', '_figures', '_log', '_own', '_to_client', '_to_server')
 
     def __init__(
         self,
         codec: packets.Codec,
         log: Logger,
+        figures: metrics.Metrics,
         own: _udp.DatagramSocket,
         to_client: _udp.DatagramSocket,
         to_server: typing.Callable[[bytes, int], None] | None = None,
     ) -> None:
         self._codec = codec
         self._log = log
+        self._figures = figures
         self._own = own
         self._to_client = to_client
         self._to_server = to_server
@@ -54,12 +59,21 @@
             elif isinstance(effect, effects.Reset):
                 self._reset(effect)
             else:
-                self._log(effect.event, **effect.fields)
+                self._tell(effect)
 
     def _reset(self, effect: effects.Reset) -> None:
         raw = self._codec.reset(effect.key, effect.sequence)
         self._to_client.send(raw, self._codec.client_of(effect.key))
-        self._log('flow_reset', flow=effect.key.hex(), reason=effect.reason)
+        self._tell(
+            effects.Log('flow_reset', flow=effect.key.hex(), reason=effect.reason),
+        )
+
+    def _tell(self, event: effects.Log) -> None:
+        self._figures.count(event.event)
+        taken = event.fields.get('ms')
+        if isinstance(taken, float):
+            self._figures.latency(event.event, taken / MILLISECONDS)
+        self._log(event.event, **event.fields)
 
 
 def start(work: Work, log: Logger) -> threading.Thread:
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -6,6 +6,7 @@
 
 from egretjunction import _udp
 from egretjunction import errors
+from egretjunction import metrics
 from egretjunction.decisions import relay_agent
 from egretjunction.decisions import relay_server
 from egretjunction.relay import _http
@@ -44,6 +45,7 @@
         self._listing: threading.Thread | None = None
         self._ending_since: float | None = None
         self._loop = _loop.Loop()
+        self._figures = metrics.Metrics('agent')
 
     def run(self) -> None:
         """Serve until a drain has finished."""
@@ -56,6 +58,7 @@
         self._outlet = _process.Outlet(
             self._platform.codec,
             self._log,
+            self._figures,
             self._entries,
             self._entries,
             self._give,
@@ -65,6 +68,9 @@
         )
         _http.Server(self._given.ready, is_ready, self._loop)
         _http.Server(self._given.announcements, self._on_announcement, self._loop)
+        shown = _http.figures(self._figures.text, self._status)
+        _http.Server(self._given.metrics, shown, self._loop)
+        self._register_figures()
         self._loop.on_signal(signal.SIGTERM, self.drain)
         self._loop.on_signal(signal.SIGHUP, self._reload)
         self._loop.every(TICK_SECONDS, self._tick)
@@ -75,6 +81,28 @@
             self._unlist_self()
         self._log('agent_stopped', flows=self._flows.flow_count)
 
+    def _register_figures(self) -> None:
+        gauge = self._figures.gauge
+        gauge('flows', lambda: self._flows.flow_count)
+        gauge('requests_at_work', lambda: self._flows.busy)
+        gauge(
+            'datagrams_unsent',
+            lambda: self._entries.dropped + self._outbound.dropped,
+        )
+
+    def _status(self) -> dict[str, object]:
+        now = self._clock()
+        return {
+            'name': self._given.name,
+            'domain': self._given.domain,
+            'service': self._given.service,
+            'server': self._server.name,
+            'state': self._flows.state(now).name.lower(),
+            'work': self._flows.status(now).work,
+            'flows': self._flows.flow_count,
+            'version': self._flows.version,
+        }
+
     def drain(self) -> None:
         """Take no more flows, wait for requests at work, then end."""
         if self._ending_since is not None:
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -7,6 +7,7 @@
 
 from egretjunction import _udp
 from egretjunction import errors
+from egretjunction import metrics
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
@@ -61,6 +62,7 @@
         self._client_at = float('-inf')
         self._newer_version = threading.Event()
         self._loop = _loop.Loop()
+        self._figures = metrics.Metrics('entry')
 
     def run(self) -> None:
         """Serve until a drain has finished."""
@@ -71,10 +73,17 @@
             self._given.clients, self._on_client, self._loop
         )
         self._outlet = _process.Outlet(
-            self._platform.codec, self._log, self._agents, self._clients
+            self._platform.codec,
+            self._log,
+            self._figures,
+            self._agents,
+            self._clients,
         )
         is_ready = _http.readiness(self._platform.readiness_path, self._is_ready)
         _http.Server(self._given.ready, is_ready, self._loop)
+        shown = _http.figures(self._figures.text, self._status)
+        _http.Server(self._given.metrics, shown, self._loop)
+        self._register_figures()
         self._loop.on_signal(signal.SIGTERM, self.drain)
         self._loop.on_signal(signal.SIGHUP, self._reload)
         self._loop.every(TICK_SECONDS, self._tick)
@@ -89,6 +98,35 @@
         self._loop.run()
         self._log('entry_stopped', flows=self._flows.flow_count)
 
+    def _register_figures(self) -> None:
+        gauge = self._figures.gauge
+        gauge('flows', lambda: self._flows.flow_count)
+        gauge('first_packets_and_searches_pending', lambda: self._flows.pending_count)
+        gauge('members', lambda: len(self._members.member_by_name))
+        gauge('configuration_version', lambda: self._routes.version)
+        gauge('datagrams_unsent', lambda: self._agents.dropped + self._clients.dropped)
+
+    def _status(self) -> dict[str, object]:
+        now = self._clock()
+        return {
+            'name': self._given.name,
+            'domain': self._given.domain,
+            'version': self._routes.version,
+            'ready': self._is_ready(),
+            'members': {
+                member.name: {
+                    'service': member.service,
+                    'domain': member.domain,
+                    'state': member.status.state.name.lower(),
+                    'work': member.status.work,
+                    'flows': member.status.flows,
+                    'silent_seconds': round(member.silent_seconds(now), 3),
+                    'listed': member.is_listed,
+                }
+                for member in self._members.member_by_name.values()
+            },
+        }
+
     def drain(self) -> None:
         """Fail the routers' checks, relay what still comes, then end."""
         if self._draining_since is not None:
--- a/src/egretjunction/relay/running.py
+++ b/src/egretjunction/relay/running.py
@@ -1,11 +1,11 @@
 """Starts a daemon that relays, on a platform whose adapter is given."""
 
 import importlib
-import sys
 import typing
 
 from egretjunction import addresses
 from egretjunction import errors
+from egretjunction.relay import _logs
 from egretjunction.relay import adapter
 from egretjunction.relay import settings
 
@@ -28,7 +28,7 @@
     given = settings.read(_read_text(settings_path), settings_path, _KIND_BY_ROLE[role])
     platform = connect(given.client_port, given.platform)
     module = importlib.import_module(f'egretjunction.relay.{role}')
-    module.start(given, platform, _log)
+    module.start(given, platform, _logs.EventLog(role, given.name))
 
 
 def _read_text(path: str) -> str:
@@ -39,9 +39,3 @@
         raise errors.SettingsError(
             path, '*', '*', str(error), 'a readable text file'
         ) from error
-
-
-def _log(event: str, **fields: object) -> None:
-    pairs = ' '.join(f'{name}={shown}' for name, shown in fields.items())
-    sys.stdout.write(f'event={event} {pairs}\n')
-    sys.stdout.flush()
