--- a/src/egretjunction/cli.py
+++ b/src/egretjunction/cli.py
@@ -165,13 +165,6 @@
     try:
         app()
     except (errors.EgretjunctionError, ExceptionGroup) as error:
-        for line in describe(error):
+        for line in errors.describe(error):
             sys.stderr.write(f'error: {line}\n')
         sys.exit(getattr(error, 'exit_code', 1))
-
-
-def describe(error: BaseException) -> list[str]:
-    """Return one message for each error in a group."""
-    if isinstance(error, BaseExceptionGroup):
-        return [line for each in error.exceptions for line in describe(each)]
-    return [str(error)]
--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -15,7 +15,8 @@
 IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
 ENTRY_SECONDS = 10.0  # an entry not heard of for this long is told nothing more
 MAX_FLOWS = 20_000
-TOKEN_RANGE = 2**32
+NUMBER_BITS = 32
+TOKEN_RANGE = 2**NUMBER_BITS
 
 
 class _Flow:
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -20,7 +20,8 @@
 QUEUE_PACKETS = 32  # both windows of a flow
 SEARCH_WIDTH = 12  # agents asked at once
 MAX_PENDING = 4096
-TOKEN_RANGE = 2**32
+NUMBER_BITS = 32
+TOKEN_RANGE = 2**NUMBER_BITS
 
 
 class _Flow:
@@ -258,7 +259,7 @@
             self._end_offer(token, offer)
             found: list[effects.Effect] = []
             for packet in offer.early:
-                found += self._on_unknown(packet, now)
+                found.extend(self._on_unknown(packet, now))
             return found
         if relay_waiting.is_hopeless(offer, now):
             self._end_offer(token, offer)
@@ -382,15 +383,11 @@
             return [effects.Log('search_failed', flow=search.key.hex())]
         members = self.members.of_services(search.services)
         alive = [member for member in members if not member.is_dead(now)]
-        open_members = [
-            member for member in alive if member.name not in search.denied
-        ]
+        open_members = [member for member in alive if member.name not in search.denied]
         if not open_members:
             return self._give_up_search(token, search, now)
         search.due_at = now + SEARCH_SECONDS
-        fresh = [
-            member for member in open_members if member.name not in search.asked
-        ]
+        fresh = [member for member in open_members if member.name not in search.asked]
         found: list[effects.Effect] = []
         for member in (fresh or open_members)[:SEARCH_WIDTH]:
             search.asked.add(member.name)
@@ -478,7 +475,7 @@
     ) -> list[effects.Effect]:
         found: list[effects.Effect] = []
         for packet in early:
-            found += self.on_client_packet(packet, now)
+            found.extend(self.on_client_packet(packet, now))
         return found
 
     def _on_passed(
--- a/src/egretjunction/decisions/relay_work.py
+++ b/src/egretjunction/decisions/relay_work.py
@@ -5,7 +5,8 @@
 RESERVED_SECONDS = 0.06  # the request of a new flow follows its handshake at once
 BUSY_SECONDS = 1.0  # without news of a request it is taken as done; deadlines are 1 s
 QUEUE_SHARE = 0.5  # of the slots; hides the way between an answer and the next offer
-SEQUENCE_RANGE = 2**32
+SEQUENCE_BITS = 32
+SEQUENCE_RANGE = 2**SEQUENCE_BITS
 
 
 class Work:
@@ -74,7 +75,8 @@
         :param is_final: whether all servers are full, so that a short queue is
             better than an idle slot.
         """
-        return self.amount(now) < slots * (1 + QUEUE_SHARE if is_final else 1)
+        limit = slots * (1 + QUEUE_SHARE) if is_final else slots
+        return self.amount(now) < limit
 
 
 def _expire(at_by_key: dict[bytes, float], until: float) -> None:
--- a/src/egretjunction/errors.py
+++ b/src/egretjunction/errors.py
@@ -100,3 +100,10 @@
 
 class PlatformFormatError(EgretjunctionError):
     """A value or call of the platform cannot be read."""
+
+
+def describe(error: BaseException) -> list[str]:
+    """Return one message for each error in a group."""
+    if isinstance(error, BaseExceptionGroup):
+        return [line for each in error.exceptions for line in describe(each)]
+    return [str(error)]
--- a/src/egretjunction/metrics.py
+++ b/src/egretjunction/metrics.py
@@ -101,11 +101,11 @@
         """Return all figures as text in the exposition format of Prometheus."""
         lines: list[str] = []
         for name, amount in sorted(self._counts_by_name.items()):
-            lines += self._family(f'{name}_total', 'counter', amount)
+            lines.extend(self._family(f'{name}_total', 'counter', amount))
         for name, read in sorted(self._gauges_by_name.items()):
-            lines += self._family(name, 'gauge', read())
+            lines.extend(self._family(name, 'gauge', read()))
         for name, latencies in sorted(self._latencies_by_name.items()):
-            lines += self._summary(f'{PREFIX}{name}_seconds', latencies)
+            lines.extend(self._summary(f'{PREFIX}{name}_seconds', latencies))
         return ''.join(f'{line}\n' for line in lines).encode()
 
     def _family(self, name: str, kind: str, amount: float) -> list[str]:
--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -119,20 +119,21 @@
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
                 return True
-            if isinstance(event, h11.Request):
-                target = event.target.decode('ascii', 'replace')
-                method = event.method.decode('ascii', 'replace')
-                self._request = Request(method, target.partition('?')[0])
-            elif isinstance(event, h11.Data):
-                self._request.body += bytes(event.data)
-                if len(self._request.body) > MAX_BODY_BYTES:
-                    return False
-            elif isinstance(event, h11.EndOfMessage):
-                if not self._answer():
-                    return False
-            else:
+            if not self._handle(event):
                 return False
 
+    def _handle(self, event: object) -> bool:
+        """Take one event; tell whether the connection stays open."""
+        if isinstance(event, h11.Request):
+            target = event.target.decode('ascii', 'replace')
+            method = event.method.decode('ascii', 'replace')
+            self._request = Request(method, target.partition('?')[0])
+            return True
+        if isinstance(event, h11.Data):
+            self._request.body += bytes(event.data)
+            return len(self._request.body) <= MAX_BODY_BYTES
+        return isinstance(event, h11.EndOfMessage) and self._answer()
+
     def _answer(self) -> bool:
         code, body = self._handler(self._request)
         headers = [
--- a/src/egretjunction/relay/_logs.py
+++ b/src/egretjunction/relay/_logs.py
@@ -14,6 +14,7 @@
 BURST_LINES = 200.0
 SUMMARY_SECONDS = 5.0
 STANDARD_OUTPUT = 1
+_ESCAPES = str.maketrans({'"': r'\"', '\n': r'\n', '\r': r'\r', '\\': r'\\'})
 _QUOTED = frozenset(' ="\n\r\t')
 
 
@@ -90,5 +91,5 @@
     text = '' if given is None else str(given)
     if _QUOTED.isdisjoint(text):
         return text
-    escaped = text.replace('\\', '\\\\').replace('"', r'\"').replace('\n', r'\n')
+    escaped = text.translate(_ESCAPES)
     return f'"{escaped}"'
--- a/src/egretjunction/relay/_loop.py
+++ b/src/egretjunction/relay/_loop.py
@@ -34,7 +34,9 @@
         self._posted: collections.deque[Call] = collections.deque()
         self._periodic: list[_Periodic] = []
         self._is_stopped = False
-        self._woken, self._wake = socket.socketpair()
+        woken, wake = socket.socketpair()
+        self._woken = woken
+        self._wake = wake
         self._woken.setblocking(False)
         self._wake.setblocking(False)
         self.add_reader(self._woken, self._drain_wakes)
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -1,5 +1,6 @@
 """What both daemons that relay share: effects, signals, calls to the store."""
 
+import itertools
 import threading
 import time
 import typing
@@ -28,7 +29,15 @@
     :param to_server: gives a packet and a token to the backend server.
     """
 
-    __slots__ = ('_codec', '_figures', '_log', '_own', '_to_client', '_to_server')
+    __slots__ = (
+        '_apply_by_kind',
+        '_codec',
+        '_figures',
+        '_log',
+        '_own',
+        '_to_client',
+        '_to_server',
+    )
 
     def __init__(
         self,
@@ -45,21 +54,28 @@
         self._own = own
         self._to_client = to_client
         self._to_server = to_server
+        self._apply_by_kind: dict[type, typing.Callable[[typing.Any], None]] = {
+            effects.Send: self._send,
+            effects.ToClient: self._send_to_client,
+            effects.ToServer: self._send_to_server,
+            effects.Reset: self._reset,
+            effects.Log: self._tell,
+        }
 
     def apply(self, found: typing.Iterable[effects.Effect]) -> None:
         """Carry out effects in their order."""
         for effect in found:
-            if isinstance(effect, effects.Send):
-                self._own.send(relaying.encode(effect.message), effect.address)
-            elif isinstance(effect, effects.ToClient):
-                self._to_client.send(effect.raw, self._codec.client_of(effect.key))
-            elif isinstance(effect, effects.ToServer):
-                if self._to_server is not None:
-                    self._to_server(effect.raw, effect.token)
-            elif isinstance(effect, effects.Reset):
-                self._reset(effect)
-            else:
-                self._tell(effect)
+            self._apply_by_kind[type(effect)](effect)
+
+    def _send(self, effect: effects.Send) -> None:
+        self._own.send(relaying.encode(effect.message), effect.address)
+
+    def _send_to_client(self, effect: effects.ToClient) -> None:
+        self._to_client.send(effect.raw, self._codec.client_of(effect.key))
+
+    def _send_to_server(self, effect: effects.ToServer) -> None:
+        if self._to_server is not None:
+            self._to_server(effect.raw, effect.token)
 
     def _reset(self, effect: effects.Reset) -> None:
         raw = self._codec.reset(effect.key, effect.sequence)
@@ -131,21 +147,32 @@
         changes were missed.
     :param on_changes: gets what has changed since.
     """
-    while True:
-        listing = until_answered(
-            lambda: client.list_prefix(prefix), log, f'list {prefix}'
-        )
+
+    def list_all() -> store.Listing:
+        return client.list_prefix(prefix)
+
+    for _ in itertools.count():
+        listing = until_answered(list_all, log, f'list {prefix}')
         on_listing(listing)
-        revision = listing.revision
+        _follow(client, prefix, wait_seconds, listing.revision, on_changes, log)
+
+
+def _follow(
+    client: store.Store,
+    prefix: str,
+    wait_seconds: float,
+    revision: int,
+    on_changes: typing.Callable[[store.Changes], None],
+    log: Logger,
+) -> None:
+    def watch() -> store.Changes:
+        return client.watch(prefix, revision, wait_seconds)
+
+    while True:
         try:
-            while True:
-                after = revision
-                changes = until_answered(
-                    lambda after=after: client.watch(prefix, after, wait_seconds),
-                    log,
-                    f'watch {prefix}',
-                )
-                on_changes(changes)
-                revision = max(revision, changes.revision)
+            changes = until_answered(watch, log, f'watch {prefix}')
         except store.HistoryGoneError:
             log('history_gone', prefix=prefix, revision=revision)
+            return
+        on_changes(changes)
+        revision = max(revision, changes.revision)
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -186,9 +186,7 @@
         )
         if any(item.key == key and item.data == data for item in listing.items):
             return
-        _process.until_answered(
-            lambda: client.put(key, data), self._log, 'list self'
-        )
+        _process.until_answered(lambda: client.put(key, data), self._log, 'list self')
         self._log('agent_listed', key=key)
 
     def _unlist_self(self) -> None:
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -141,7 +141,11 @@
         return self._routes.version > 0 and self._listed_at is not None
 
     def _is_ready(self) -> bool:
-        if self._draining_since is not None or not self._is_informed() or self._listed_at is None:
+        if (
+            self._draining_since is not None
+            or not self._is_informed()
+            or self._listed_at is None
+        ):
             return False
         return self._clock() - self._listed_at >= SETTLE_SECONDS
 
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -30,9 +30,7 @@
     return AGENTS + name, msgspec.json.encode(listed)
 
 
-def entry_item(
-    name: str, domain: str, address: addresses.Address
-) -> tuple[str, bytes]:
+def entry_item(name: str, domain: str, address: addresses.Address) -> tuple[str, bytes]:
     """Return key and value of an entry."""
     return ENTRIES + name, msgspec.json.encode(_Entry(domain, str(address)))
 
--- a/src/egretjunction/relay/running.py
+++ b/src/egretjunction/relay/running.py
@@ -1,6 +1,7 @@
 """Starts a daemon that relays, on a platform whose adapter is given."""
 
 import importlib
+import types
 import typing
 
 from egretjunction import addresses
@@ -9,7 +10,9 @@
 from egretjunction.relay import adapter
 from egretjunction.relay import settings
 
-_KIND_BY_ROLE = {'entry': settings.RelayEntry, 'agent': settings.RelayAgent}
+_KIND_BY_ROLE = types.MappingProxyType(
+    {'entry': settings.RelayEntry, 'agent': settings.RelayAgent},
+)
 Connect = typing.Callable[[int, addresses.Address], adapter.Adapter]
 
 
--- a/src/egretjunction/relay/settings.py
+++ b/src/egretjunction/relay/settings.py
@@ -1,5 +1,7 @@
 """Settings of the daemons that relay opaque flows."""
 
+import types
+
 import msgspec
 
 from egretjunction import _ini
@@ -66,7 +68,9 @@
         return self.entries.port
 
 
-SECTION_BY_KIND = {RelayEntry: 'relay-entry', RelayAgent: 'relay-agent'}
+SECTION_BY_KIND = types.MappingProxyType(
+    {RelayEntry: 'relay-entry', RelayAgent: 'relay-agent'},
+)
 
 
 def read(text: str, source: str, kind: type) -> RelayEntry | RelayAgent:
--- a/src/egretjunction/relay/store.py
+++ b/src/egretjunction/relay/store.py
@@ -46,7 +46,7 @@
 class Store(typing.Protocol):
     """Client of the service.
 
-    Every method waits for the answer, in the thread that calls it. Every one raises 
+    Every method waits for the answer, in the thread that calls it. Every one raises
     ``errors.PlatformUnavailableError`` when the service does not answer; for a
     write, ``errors.NotKnownError`` says that it may have taken effect.
     """
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -140,7 +140,7 @@
     status: Status
 
 
-class Pong(msgspec.Struct, array_like=True, tag=11):
+class Pong(msgspec.Struct, array_like=True, tag=0):
     """Agent to entry: its status, asked for or changed."""
 
     service_tag: int
--- a/tests/decisions/test_document.py
+++ b/tests/decisions/test_document.py
@@ -6,7 +6,6 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from egretjunction import cli
 from egretjunction import errors
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
@@ -18,7 +17,7 @@
 def _problems(text):
     with pytest.raises((errors.SettingsErrors, errors.SettingsError)) as raised:
         document.parse(text, 'doc.ini')
-    return '\n'.join(cli.describe(raised.value))
+    return '\n'.join(errors.describe(raised.value))
 
 
 @pytest.mark.parametrize(
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -115,9 +115,7 @@
 
 
 def test_agent_that_saw_its_server_start_denies_unknown_flows():
-    found = build.agent().on_message(
-        relaying.Find(5, build.KEY, 501), build.ENTRY, 0
-    )
+    found = build.agent().on_message(relaying.Find(5, build.KEY, 501), build.ENTRY, 0)
     assert build.sent(found, relaying.NotHeld)
 
 
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -147,9 +147,7 @@
 
 def test_new_flows_prefer_the_own_domain_until_it_is_fuller():
     entry = build.entry('m-1')
-    far = relay_members.Member(
-        'm-9', build.SERVICE, 'b', build.member_address('m-9')
-    )
+    far = relay_members.Member('m-9', build.SERVICE, 'b', build.member_address('m-9'))
     entry.members.list_member(far)
     far.heard(build.status(), 0)
     ((_, near),) = _offers(entry.on_client_packet(build.first(), 0))
--- /dev/null
+++ b/tests/platform/store_standin.py
@@ -0,0 +1,148 @@
+"""A stand-in for the operators' metadata store, in threads of the test."""
+
+import base64
+import contextlib
+import http.server
+import json
+import threading
+import urllib.parse
+
+from egretjunction import addresses
+
+
+class State:
+    """What the store holds, and how it misbehaves.
+
+    :param status: answered to every call when it is not 0.
+    :param is_silent: whether calls get no answer.
+    :param loses_answers: whether writes are done and not answered.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.item_by_key = {}
+        self.event_by_revision = {}
+        self.oldest = 0
+        self.page = 500
+        self.status = 0
+        self.is_silent = False
+        self.loses_answers = False
+        self.changed = threading.Condition()
+
+    def write(self, puts, deletes):
+        """Change keys at one revision."""
+        with self.changed:
+            for key, data in puts.items():
+                self.revision += 1
+                item = {
+                    'key': key,
+                    'value': base64.b64encode(data).decode(),
+                    'revision': self.revision,
+                    'created_at': self.revision,
+                    'lease': 0,
+                }
+                self.item_by_key[key] = item
+                self.event_by_revision[self.revision] = item
+            for key in deletes:
+                self.revision += 1
+                self.item_by_key.pop(key, None)
+                event = {'key': key, 'revision': self.revision, 'deleted': True}
+                self.event_by_revision[self.revision] = event
+            self.changed.notify_all()
+        return self.revision
+
+    def events(self, prefix, after):
+        """Return the events of a prefix after a revision."""
+        return [
+            event
+            for revision, event in sorted(self.event_by_revision.items())
+            if revision > after and event['key'].startswith(prefix)
+        ]
+
+
+@contextlib.contextmanager
+def running():
+    """Yield the state and the address of a store that answers."""
+    state = State()
+
+    class Handler(_Handler):
+        store = state
+
+    server = http.server.ThreadingHTTPServer(('127.0.0.1', 0), Handler)
+    server.daemon_threads = True
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
+    thread.start()
+    try:
+        yield state, addresses.Address(*server.server_address)
+    finally:
+        server.shutdown()
+        server.server_close()
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+
+    def log_message(self, *_):
+        """Keep quiet."""
+
+    def do_GET(self):
+        url = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        self._answer(*getattr(self, '_' + url.path.strip('/').replace('-', '_'))(query))
+
+    def do_POST(self):
+        body = json.loads(self.rfile.read(int(self.headers['Content-Length'])))
+        self._answer(*self._kv_txn(body))
+
+    def _kv_key(self, query):
+        item = self.store.item_by_key.get(query['key'])
+        if item is None:
+            return 404, {}
+        return 200, {**item, 'store_revision': self.store.revision}
+
+    def _kv_range(self, query):
+        keys = sorted(
+            key
+            for key in self.store.item_by_key
+            if key.startswith(query['prefix']) and key > query.get('after', '')
+        )
+        page = keys[: self.store.page]
+        return 200, {
+            'items': [self.store.item_by_key[key] for key in page],
+            'has_more': len(keys) > len(page),
+            'store_revision': self.store.revision,
+        }
+
+    def _kv_watch(self, query):
+        after = int(query['after'])
+        if after < self.store.oldest:
+            return 410, {}
+        with self.store.changed:
+            self.store.changed.wait_for(
+                lambda: self.store.events(query['prefix'], after),
+                int(query['wait_ms']) / 1000,
+            )
+            events = self.store.events(query['prefix'], after)
+        return 200, {'events': events, 'store_revision': self.store.revision}
+
+    def _kv_txn(self, body):
+        for row in body['expected_rev']:
+            item = self.store.item_by_key.get(row['key'], {'revision': 0})
+            if item['revision'] != row['revision']:
+                return 412, {'items': [item]}
+        puts = {put['key']: base64.b64decode(put['value']) for put in body['puts']}
+        revision = self.store.write(puts, body['deletes'])
+        if self.store.loses_answers:
+            self.store.is_silent = True
+        return 200, {'revision': revision}
+
+    def _answer(self, code, body):
+        if self.store.is_silent:
+            self.close_connection = True
+            return
+        raw = json.dumps(body).encode()
+        self.send_response(self.store.status or code)
+        self.send_header('Content-Type', 'application/json')
+        self.send_header('Content-Length', str(len(raw)))
+        self.end_headers()
+        self.wfile.write(raw)
--- /dev/null
+++ b/tests/platform/test_backend_heartbeats.py
@@ -0,0 +1,76 @@
+"""Heartbeats and leave calls of backend servers."""
+
+import json
+
+import backend_heartbeats
+import pytest
+from hypothesis import given
+from hypothesis import strategies
+
+from egretjunction import errors
+from egretjunction.relay import adapter
+
+BEAT = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'glakes-a',
+    'version': 'v1',
+    'capacity': 2,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+    'sequence': 4,
+    'born': 1782018491800,
+}
+
+
+def _read(**changed):
+    body = json.dumps({**BEAT, **changed}).encode()
+    return backend_heartbeats.read_announcement('PUT', '/instances/i-7f3a91c2', body)
+
+
+def test_heartbeat_is_decoded():
+    beat = _read(state='draining', cold_remaining_ms=1500.5)
+    assert (beat.name, beat.service, beat.born) == (
+        'i-7f3a91c2',
+        'huvo11a',
+        BEAT['born'],
+    )
+    assert (beat.slots, beat.sequence, beat.cold_ms) == (2, 4, 1500)
+    assert beat.is_draining
+
+
+def test_leave_is_decoded():
+    left = backend_heartbeats.read_announcement('DELETE', '/instances/i-7', b'')
+    assert left == adapter.Leave('i-7')
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'state': 'resting'},
+        {'capacity': 0},
+        {'capacity': 'two'},
+        {'sequence': None},
+        {'born': 1.5},
+        {'service': 7},
+    ],
+    ids=str,
+)
+def test_heartbeat_of_another_writer_is_refused(changed):
+    with pytest.raises(errors.PlatformFormatError, match='i-7f3a91c2'):
+        _read(**changed)
+
+
+@pytest.mark.parametrize(
+    ('method', 'path'),
+    [('GET', '/instances/i-1'), ('PUT', '/instances/'), ('PUT', '/other')],
+)
+def test_other_calls_are_refused(method, path):
+    with pytest.raises(errors.PlatformFormatError):
+        backend_heartbeats.read_announcement(method, path, b'{}')
+
+
+@given(strategies.binary(max_size=200))
+def test_any_body_is_read_or_refused(body):
+    with pytest.raises(errors.PlatformFormatError):
+        backend_heartbeats.read_announcement('PUT', '/instances/i-1', body)
--- /dev/null
+++ b/tests/platform/test_operator_config.py
@@ -0,0 +1,60 @@
+"""The operators' configuration as the store holds it."""
+
+import json
+
+import operator_config
+import pytest
+from hypothesis import given
+from hypothesis import strategies
+
+from egretjunction import addresses
+from egretjunction import errors
+
+ROUTES = [
+    {
+        'name': 'r-1',
+        'host': '198.18.0.1',
+        'prefix': '/8443/',
+        'type': 'idempotent',
+        'timeout_ms': 800,
+        'target_latency_ms': 173,
+        'priority': 2,
+        'weighted_services': [
+            {'service': 'huvo11a', 'weight': 90},
+            {'service': 'wuno96b', 'weight': 10},
+        ],
+        'max_attempts': 2,
+    },
+    {'name': 'r-2', 'host': '198.18.0.2', 'prefix': '/8080/', 'service': 'wuno96b'},
+]
+
+
+def _read(routes):
+    return operator_config.read_routes(json.dumps(routes).encode())
+
+
+def test_routes_are_found_by_address_and_port():
+    table = _read({'version': 7, 'routes': ROUTES, 'services': [], 'limits': {}})
+    shared = table.route_by_address[addresses.Address('198.18.0.1', 8443)]
+    assert table.version == 7
+    assert shared.weight_by_service == {'huvo11a': 90, 'wuno96b': 10}
+    assert (shared.target_seconds, shared.timeout_seconds) == (0.173, 0.8)
+    assert shared.priority == 2
+    single = table.route_by_address[addresses.Address('198.18.0.2', 8080)]
+    assert single.weight_by_service == {'wuno96b': 1}
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [{'host': 'a name'}, {'prefix': '/path/'}, {'name': 7}, {'timeout_ms': 'soon'}],
+    ids=str,
+)
+def test_route_that_cannot_be_used_is_refused(changed):
+    with pytest.raises(errors.PlatformFormatError, match='op/config'):
+        _read({'version': 7, 'routes': [{**ROUTES[1], **changed}]})
+
+
+@given(strategies.binary(max_size=200))
+def test_any_document_is_read_or_refused(raw):
+    with pytest.raises(errors.PlatformFormatError):
+        operator_config.read_routes(raw)
--- /dev/null
+++ b/tests/relay/test_http.py
@@ -0,0 +1,70 @@
+"""HTTP servers of the daemons that relay."""
+
+import http.client
+import socket
+import threading
+
+import pytest
+
+from egretjunction import addresses
+from egretjunction.relay import _http
+from egretjunction.relay import _loop
+
+
+@pytest.fixture
+def address():
+    loop = _loop.Loop()
+
+    def answer(request):
+        return 200, f'{request.method} {request.path} {len(request.body)}'.encode()
+
+    server = _http.Server(addresses.Address('127.0.0.1', 0), answer, loop)
+    thread = threading.Thread(target=loop.run)
+    thread.start()
+    yield server.address
+    loop.post(loop.stop)
+    thread.join()
+    server.close()
+
+
+def test_connection_serves_several_requests(address):
+    client = http.client.HTTPConnection(*address, timeout=2)
+    for size in (0, 10, 50_000):
+        client.request('PUT', '/a?b=1', b'x' * size)
+        assert client.getresponse().read() == f'PUT /a {size}'.encode()
+    client.close()
+
+
+def test_body_that_is_too_large_closes_the_connection(address):
+    client = http.client.HTTPConnection(*address, timeout=2)
+    body = b'x' * (_http.MAX_BODY_BYTES * 8)
+    with pytest.raises(OSError):
+        _put(client, body)
+    client.close()
+
+
+def _put(client, body):
+    client.request('PUT', '/a', body)
+    return client.getresponse().read()
+
+
+def test_garbage_closes_only_its_own_connection(address):
+    with socket.create_connection(address, 2) as broken:
+        broken.sendall(b'\x00\x01garbage\r\n\r\n')
+        assert broken.recv(100) == b''
+    client = http.client.HTTPConnection(*address, timeout=2)
+    client.request('GET', '/a')
+    assert client.getresponse().status == 200
+    client.close()
+
+
+def test_idle_connections_do_not_keep_others_out(address):
+    idle = [
+        socket.create_connection(address, 2) for _ in range(_http.MAX_CONNECTIONS + 5)
+    ]
+    client = http.client.HTTPConnection(*address, timeout=2)
+    client.request('GET', '/a')
+    assert client.getresponse().status == 200
+    client.close()
+    for opened in idle:
+        opened.close()
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -136,7 +136,9 @@
 
 def status(state=relaying.State.READY, work=0, flows=0, slots=2, **fields):
     """Return an agent's status."""
-    return relaying.Status(state, work, flows, slots, fields.pop('version', 1), **fields)
+    return relaying.Status(
+        state, work, flows, slots, fields.pop('version', 1), **fields
+    )
 
 
 def entry(*names, domain='a', routes=None):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,6 @@
 import pytest
 
 from bench import reference
-from egretjunction import cli
 from egretjunction import errors
 from egretjunction import settings
 from egretjunction.standins import certificates
@@ -52,7 +51,7 @@
 def test_errors_say_where_and_what(tmp_path, before, after, expected):
     with pytest.raises((errors.SettingsErrors, errors.SettingsError)) as raised:
         _load(tmp_path, ENTRY.replace(before, after))
-    shown = '\n'.join(cli.describe(raised.value))
+    shown = '\n'.join(errors.describe(raised.value))
     assert str(tmp_path / 'entry.ini') in shown
     for part in expected:
         assert part in shown
