--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -13,6 +13,7 @@
 SILENT_PING_SECONDS = 0.15  # an agent that comes back is found this soon
 LOST_PING_SECONDS = 2.0
 SUSPECT_SECONDS = 0.25  # an answer within a failure domain takes a few milliseconds
+CUT_OFF_SECONDS = 0.5  # all agents of a service do not miss two pings by chance
 DEAD_SECONDS = 1.5  # longer than the pauses of a process with a processor quota
 FORGOTTEN_SECONDS = 30.0
 FOREIGN_PENALTY = 0.8  # share of a server's slots that a near server may be fuller
@@ -173,6 +174,18 @@
         ]
         return sorted(usable, key=lambda member: self._cost(member, key))
 
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether no agent of some service answers this entry.
+
+        Routers that hear it go to entries that may still reach the agents.
+        """
+        reached_by_service: dict[str, bool] = {}
+        for member in self.member_by_name.values():
+            is_reached = member.silent_seconds(now) <= CUT_OFF_SECONDS
+            reached = reached_by_service.get(member.service, False)
+            reached_by_service[member.service] = reached or is_reached
+        return not all(reached_by_service.values())
+
     def due_for_ping(self, now: float) -> list[Member]:
         """Return the members whose status should be asked for now."""
         return [
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -141,13 +141,11 @@
         return self._routes.version > 0 and self._listed_at is not None
 
     def _is_ready(self) -> bool:
-        if (
-            self._draining_since is not None
-            or not self._is_informed()
-            or self._listed_at is None
-        ):
+        if self._draining_since is not None or not self._is_informed():
             return False
-        return self._clock() - self._listed_at >= SETTLE_SECONDS
+        now = self._clock()
+        is_settled = now - (self._listed_at or 0) >= SETTLE_SECONDS
+        return is_settled and not self._members.is_cut_off(now)
 
     def _on_client(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
