Entries that the store refuses read newer versions from their peers

One entry in four got 429 from 2.5 s to 11.8 s and followed a configuration nine seconds old, asking the store three times a second. Agents tell which version others follow; the entry now asks up to three peers, and the store less and less often. Records of pending work and the following of the configuration are modules of their own.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -4,6 +4,7 @@
 
 from egretjunction import addresses
 from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_flows
 from egretjunction.decisions import relay_server
 from egretjunction.decisions import relay_work
 from egretjunction.relay import packets
@@ -19,61 +20,6 @@
 TOKEN_RANGE = 2**NUMBER_BITS
 
 
-class _Flow:
-    """One flow at this agent.
-
-    :param is_open: whether the client has acknowledged this agent's server.
-    :param is_confirmed: whether the server has answered a packet after the first.
-    :param is_provisional: whether the server was asked about it and has not told.
-    :param server_sequence: the sequence number that its server began with.
-    """
-
-    __slots__ = (
-        'acknowledged',
-        'ended_at',
-        'entry',
-        'is_confirmed',
-        'is_open',
-        'is_provisional',
-        'opened_at',
-        'server_sequence',
-        'token',
-        'used_at',
-    )
-
-    def __init__(self, now: float) -> None:
-        self.opened_at = now
-        self.used_at = now
-        self.is_open = False
-        self.is_confirmed = False
-        self.is_provisional = False
-        self.ended_at: float | None = None
-        self.server_sequence: int | None = None
-        self.acknowledged = 0
-        self.entry: addresses.Address | None = None
-        self.token = 0
-
-
-class _Question:
-    """A packet that the backend server was asked about."""
-
-    __slots__ = ('entry', 'is_first', 'key', 'packet', 'token', 'until')
-
-    def __init__(
-        self,
-        packet: packets.Packet,
-        entry: addresses.Address,
-        token: int,
-        until: float,
-    ) -> None:
-        self.key = packet.key
-        self.packet = packet.raw
-        self.is_first = packet.is_first
-        self.entry = entry
-        self.token = token
-        self.until = until
-
-
 class RelayAgent:
     """Decides about each packet and message of one agent.
 
@@ -91,8 +37,8 @@
         self.version = 0
         self._codec = codec
         self._tag = relaying.tag_of(server.service)
-        self._flow_by_key: dict[bytes, _Flow] = {}
-        self._question_by_token: dict[int, _Question] = {}
+        self._flow_by_key: dict[bytes, relay_flows.Flow] = {}
+        self._question_by_token: dict[int, relay_flows.Question] = {}
         self._heard_by_entry: dict[addresses.Address, float] = {}
         self._work = relay_work.Work()
         self._waiting_entries: set[addresses.Address] = set()
@@ -179,7 +125,7 @@
         """Handle a heartbeat of the backend server."""
         news = self.server.heard(beat, now)
         if news is relay_server.News.STALE:
-            return [effects.Log('heartbeat_stale', name=beat.name, born=beat.born)]
+            return [effects.Log('heartbeat_stale', server=beat.name, born=beat.born)]
         found: list[effects.Effect] = []
         if news is relay_server.News.REBORN:
             found += self._reset_all('server_restarted')
@@ -187,7 +133,7 @@
             found.append(
                 effects.Log(
                     'server_changed',
-                    name=beat.name,
+                    server=beat.name,
                     born=beat.born,
                     sequence=beat.sequence,
                     draining=beat.is_draining,
@@ -200,8 +146,8 @@
     def on_left(self, name: str, now: float) -> list[effects.Effect]:
         """Handle word that the backend server ends."""
         if not self.server.left(name):
-            return [effects.Log('leave_stale', name=name)]
-        found: list[effects.Effect] = [effects.Log('server_left', name=name)]
+            return [effects.Log('leave_stale', server=name)]
+        found: list[effects.Effect] = [effects.Log('server_left', server=name)]
         return found + self.tell_entries(now)
 
     def leave(self, now: float) -> list[effects.Effect]:
@@ -217,7 +163,7 @@
                 self._question_by_token.pop(token)
                 found += self._confirm(question, now)
         if self.server.is_lost(now) and self._flow_by_key:
-            found.append(effects.Log('server_lost', name=self.server.name))
+            found.append(effects.Log('server_lost', server=self.server.name))
             found += self._reset_all('server_lost')
         self._forget(now)
         found += self._call_waiting(now)
@@ -293,7 +239,7 @@
         flow = self._flow_by_key.get(packet.key)
         if flow is None or flow.is_open or flow.ended_at is not None:
             self._drop(packet.key)
-            flow = _Flow(now)
+            flow = relay_flows.Flow(now)
             self._flow_by_key[packet.key] = flow
         flow.entry = entry
         flow.token = offer.token
@@ -337,7 +283,7 @@
 
     def _deliver(
         self,
-        flow: _Flow,
+        flow: relay_flows.Flow,
         packet: packets.Packet,
         entry: addresses.Address,
         now: float,
@@ -355,7 +301,7 @@
             self._end(packet.key, flow, now)
         return [effects.ToServer(packet.raw)]
 
-    def _belongs(self, flow: _Flow, packet: packets.Packet) -> bool:
+    def _belongs(self, flow: relay_flows.Flow, packet: packets.Packet) -> bool:
         """Tell whether a packet is one of this flow and not of its twin elsewhere."""
         if flow.is_open or packet.is_first:
             return True
@@ -412,7 +358,7 @@
         """Give the server a packet of a flow that only the server can know."""
         flow = self._flow_by_key.get(packet.key)
         if flow is None:
-            flow = _Flow(now)
+            flow = relay_flows.Flow(now)
             flow.is_open = True
             flow.is_provisional = True
             self._flow_by_key[packet.key] = flow
@@ -440,11 +386,13 @@
         until: float,
     ) -> int:
         self._token = self._token % (TOKEN_RANGE - 1) + 1
-        question = _Question(packet, entry, token, until)
+        question = relay_flows.Question(packet, entry, token, until)
         self._question_by_token[self._token] = question
         return self._token
 
-    def _confirm(self, question: _Question, now: float) -> list[effects.Effect]:
+    def _confirm(
+        self, question: relay_flows.Question, now: float
+    ) -> list[effects.Effect]:
         """Conclude from a server's silence that it holds the flow."""
         flow = self._flow_by_key.get(question.key)
         if question.is_first:
@@ -457,7 +405,9 @@
             return []
         return self._settle(question.key, flow, now)
 
-    def _settle(self, key: bytes, flow: _Flow, now: float) -> list[effects.Effect]:
+    def _settle(
+        self, key: bytes, flow: relay_flows.Flow, now: float
+    ) -> list[effects.Effect]:
         """Conclude that the server holds a flow that it was asked about."""
         flow.is_provisional = False
         if flow.entry is None or not flow.token:
@@ -490,7 +440,7 @@
 
     def _on_lost_flow(
         self,
-        flow: _Flow | None,
+        flow: relay_flows.Flow | None,
         packet: packets.Packet,
         now: float,
     ) -> list[effects.Effect]:
@@ -503,15 +453,15 @@
         raw = self._codec.restored(packet.raw)
         return [effects.Send(flow.entry, relaying.Returned(raw, self.status(now)))]
 
-    def _adopt(self, key: bytes, now: float) -> _Flow:
+    def _adopt(self, key: bytes, now: float) -> relay_flows.Flow:
         """Begin a record of a flow that the server held before this process began."""
-        flow = _Flow(now)
+        flow = relay_flows.Flow(now)
         flow.is_open = True
         flow.is_confirmed = True
         self._flow_by_key[key] = flow
         return flow
 
-    def _end(self, key: bytes, flow: _Flow, now: float) -> None:
+    def _end(self, key: bytes, flow: relay_flows.Flow, now: float) -> None:
         if flow.ended_at is None:
             flow.ended_at = now
         self._work.answered(key)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -5,14 +5,13 @@
 from egretjunction import addresses
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_pending
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_waiting
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
 OFFER_SECONDS = 0.06  # twice the way to another failure domain, and a handshake
-COPY_SECONDS = (0, 0.2, 0.6)  # when a client sends a first packet and its copies
-ATTEMPT_SECONDS = 1.4  # a client gives an unanswered first packet up
 WAITING_SECONDS = 0.05  # a waiting first packet is offered anew, whatever agents tell
 SEARCH_SECONDS = 0.08  # an agent's wait for its server, and the way
 SEARCH_LIFE_SECONDS = 1.0
@@ -25,92 +24,6 @@
 TOKEN_RANGE = 2**NUMBER_BITS
 
 
-class _Flow:
-    """Where a flow's packets go.
-
-    :param owner_by_sequence: agents that answered its first packet, by the
-        sequence number of their server; the client's next packet chooses.
-    """
-
-    __slots__ = ('is_settled', 'owner', 'owner_by_sequence', 'used_at')
-
-    def __init__(self, owner: addresses.Address, now: float) -> None:
-        self.owner = owner
-        self.owner_by_sequence: dict[int, addresses.Address] = {}
-        self.is_settled = False
-        self.used_at = now
-
-
-class _Offer:
-    """A first packet that no agent has taken yet."""
-
-    __slots__ = (
-        'began_at',
-        'due_at',
-        'early',
-        'is_final',
-        'is_waiting',
-        'key',
-        'packet',
-        'priority',
-        'route',
-        'seen_at',
-        'service',
-        'target_seconds',
-        'timeout_seconds',
-        'tried',
-    )
-
-    def __init__(
-        self,
-        packet: packets.Packet,
-        service: str,
-        route: relay_routes.Route,
-        now: float,
-    ) -> None:
-        self.packet = packet
-        self.key = packet.key
-        self.service = service
-        self.route = route.name
-        self.priority = route.priority
-        self.target_seconds = route.target_seconds
-        self.timeout_seconds = min(route.timeout_seconds, ATTEMPT_SECONDS)
-        self.tried: set[str] = set()
-        self.early: list[packets.Packet] = []
-        self.is_final = False
-        self.is_waiting = False
-        self.began_at = now - _sent_before(packet)
-        self.seen_at = now
-        self.due_at = now
-
-
-class _Search:
-    """A flow whose owner is not known here."""
-
-    __slots__ = (
-        'asked',
-        'began_at',
-        'denied',
-        'due_at',
-        'given',
-        'key',
-        'queue',
-        'services',
-        'unsure',
-    )
-
-    def __init__(self, key: bytes, services: list[str], now: float) -> None:
-        self.key = key
-        self.services = services
-        self.queue: list[packets.Packet] = []
-        self.asked: set[str] = set()
-        self.unsure: set[str] = set()
-        self.given: set[str] = set()
-        self.denied: set[str] = set()
-        self.began_at = now
-        self.due_at = now
-
-
 class RelayEntry:
     """Decides about each packet and message of one entry.
 
@@ -129,9 +42,9 @@
         self.routes = routes
         self.newest_version = 0
         self._codec = codec
-        self._flow_by_key: dict[bytes, _Flow] = {}
-        self._offer_by_token: dict[int, _Offer] = {}
-        self._search_by_token: dict[int, _Search] = {}
+        self._flow_by_key: dict[bytes, relay_pending.Flow] = {}
+        self._offer_by_token: dict[int, relay_pending.Offer] = {}
+        self._search_by_token: dict[int, relay_pending.Search] = {}
         self._token_by_key: dict[bytes, int] = {}
         self._token = 0
         self._swept_at = float('-inf')
@@ -244,7 +157,7 @@
         if len(self._token_by_key) >= MAX_PENDING:
             return [self._reset(packet, 'too_many_pending')]
         service = relay_routes.service_of(route, packet.key)
-        offer = _Offer(packet, service, route, now)
+        offer = relay_pending.Offer(packet, service, route, now)
         token = self._next_token(packet.key)
         self._offer_by_token[token] = offer
         return self._advance_offer(token, offer, now)
@@ -252,7 +165,7 @@
     def _advance_offer(
         self,
         token: int,
-        offer: _Offer,
+        offer: relay_pending.Offer,
         now: float,
     ) -> list[effects.Effect]:
         """Offer a first packet to the next member, or let it wait for room."""
@@ -293,7 +206,7 @@
     def _offer(
         self,
         token: int,
-        offer: _Offer,
+        offer: relay_pending.Offer,
         member: relay_members.Member,
         now: float,
     ) -> effects.Send:
@@ -326,7 +239,7 @@
         }
         while token_by_offer and member.room() > 0:
             chosen = relay_waiting.next_of(token_by_offer, now)
-            offer = typing.cast('_Offer', chosen)
+            offer = typing.cast('relay_pending.Offer', chosen)
             found.append(self._offer(token_by_offer.pop(offer), offer, member, now))
         return found
 
@@ -347,7 +260,7 @@
     def _on_early(
         self,
         token: int,
-        offer: _Offer,
+        offer: relay_pending.Offer,
         packet: packets.Packet,
         now: float,
     ) -> list[effects.Effect]:
@@ -367,7 +280,7 @@
             return [self._reset(packet, 'no_route')]
         if len(self._token_by_key) >= MAX_PENDING:
             return []
-        search = _Search(packet.key, services, now)
+        search = relay_pending.Search(packet.key, services, now)
         search.queue.append(packet)
         token = self._next_token(packet.key)
         self._search_by_token[token] = search
@@ -376,7 +289,7 @@
     def _advance_search(
         self,
         token: int,
-        search: _Search,
+        search: relay_pending.Search,
         now: float,
     ) -> list[effects.Effect]:
         if now - search.began_at > SEARCH_LIFE_SECONDS:
@@ -399,7 +312,7 @@
     def _question(
         self,
         token: int,
-        search: _Search,
+        search: relay_pending.Search,
         member: relay_members.Member,
     ) -> effects.Send:
         """Return what asks a member whether it holds a flow."""
@@ -413,7 +326,7 @@
     def _give_up_search(
         self,
         token: int,
-        search: _Search,
+        search: relay_pending.Search,
         now: float,
     ) -> list[effects.Effect]:
         self._end_search(token, search)
@@ -427,7 +340,7 @@
     ) -> list[effects.Effect]:
         flow = self._flow_by_key.get(held.key)
         if flow is None:
-            flow = _Flow(member.address, now)
+            flow = relay_pending.Flow(member.address, now)
             self._flow_by_key[held.key] = flow
         if held.sequence:
             flow.owner_by_sequence[held.sequence] = member.address
@@ -517,7 +430,7 @@
     def _continue_search(
         self,
         token: int,
-        search: _Search,
+        search: relay_pending.Search,
         now: float,
     ) -> list[effects.Effect]:
         """Go on at once when everyone asked so far has answered."""
@@ -552,7 +465,7 @@
     ) -> list[effects.Effect]:
         return []
 
-    def _settle(self, flow: _Flow, packet: packets.Packet) -> None:
+    def _settle(self, flow: relay_pending.Flow, packet: packets.Packet) -> None:
         """Choose the agent whose server the client has acknowledged."""
         flow.is_settled = True
         for ahead in (0, 1):
@@ -569,11 +482,11 @@
         self._token_by_key[key] = self._token
         return self._token
 
-    def _end_offer(self, token: int, offer: _Offer) -> None:
+    def _end_offer(self, token: int, offer: relay_pending.Offer) -> None:
         self._offer_by_token.pop(token, None)
         self._token_by_key.pop(offer.key, None)
 
-    def _end_search(self, token: int, search: _Search) -> None:
+    def _end_search(self, token: int, search: relay_pending.Search) -> None:
         self._search_by_token.pop(token, None)
         self._token_by_key.pop(search.key, None)
 
@@ -588,9 +501,3 @@
 
 def _milliseconds(seconds: float) -> float:
     return round(seconds * 1000, 1)
-
-
-def _sent_before(packet: packets.Packet) -> float:
-    """Return how long ago a client sent a first packet whose copy has come."""
-    copies = min(packet.acknowledged, len(COPY_SECONDS) - 1)
-    return COPY_SECONDS[copies]
--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -5,7 +5,6 @@
 import typing
 
 import httptools
-import msgspec
 
 from egretjunction import addresses
 from egretjunction.relay import _loop
@@ -163,21 +162,11 @@
     return handle
 
 
-def figures(
-    read: typing.Callable[[], bytes],
-    status: typing.Callable[[], dict[str, object]],
-) -> Handler:
-    """Return a handler of ``/metrics`` and ``/status``.
-
-    :param read: returns all figures as text.
-    :param status: returns what the process believes.
-    """
+def pages(read_by_path: typing.Mapping[str, typing.Callable[[], bytes]]) -> Handler:
+    """Return a handler that serves what functions return, by path."""
 
     def handle(request: Request) -> Answer:
-        if request.path == '/metrics':
-            return OK, read()
-        if request.path == '/status':
-            return OK, msgspec.json.encode(status())
-        return NOT_FOUND, b'{}'
+        read = read_by_path.get(request.path)
+        return (OK, read()) if read is not None else (NOT_FOUND, b'{}')
 
     return handle
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+import msgspec
+
 from egretjunction import _udp
 from egretjunction import errors
 from egretjunction import metrics
@@ -68,7 +70,12 @@
         )
         _http.Server(self._given.ready, is_ready, self._loop)
         _http.Server(self._given.announcements, self._on_announcement, self._loop)
-        shown = _http.figures(self._figures.text, self._status)
+        shown = _http.pages(
+            {
+                '/metrics': self._figures.text,
+                '/status': self._status,
+            },
+        )
         _http.Server(self._given.metrics, shown, self._loop)
         self._register_figures()
         self._loop.on_signal(signal.SIGTERM, self.drain)
@@ -90,9 +97,9 @@
             lambda: self._entries.dropped + self._outbound.dropped,
         )
 
-    def _status(self) -> dict[str, object]:
+    def _status(self) -> bytes:
         now = self._clock()
-        return {
+        shown = {
             'name': self._given.name,
             'domain': self._given.domain,
             'service': self._given.service,
@@ -102,6 +109,7 @@
             'flows': self._flows.flow_count,
             'version': self._flows.version,
         }
+        return msgspec.json.encode(shown)
 
     def drain(self) -> None:
         """Take no more flows, wait for requests at work, then end."""
@@ -180,7 +188,7 @@
             lambda: client.list_prefix(listings.PREFIX), self._log, 'list processes'
         )
         found = [listings.read_entry(item) for item in listing.items]
-        entries = [address for address in found if address is not None]
+        entries = [peer.address for peer in found if peer is not None]
         self._loop.post(
             lambda: self._outlet.apply(self._flows.greet(entries, self._clock())),
         )
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -1,16 +1,18 @@
 """The entry that relays: takes clients' packets and finds the agents that own them."""
 
 import signal
-import threading
 import time
 import typing
 
+import msgspec
+
 from egretjunction import _udp
 from egretjunction import errors
 from egretjunction import metrics
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
+from egretjunction.relay import _configuration
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
 from egretjunction.relay import _process
@@ -22,8 +24,6 @@
 from egretjunction.wire import relaying
 
 TICK_SECONDS = 0.025
-CONFIGURATION_WAIT_SECONDS = 3.0  # a watch that hears nothing is repeated this soon
-NEWER_SECONDS = 0.3  # between attempts to read a version that others follow
 MAX_EARLY_PACKETS = 512  # of clients, while configuration and agents are read
 MEMBERS_WAIT_SECONDS = 15.0
 MIN_DRAIN_SECONDS = 1.2  # routers take two failed checks, half a second apart
@@ -60,9 +60,16 @@
         self._early_packets: list[packets.Packet] = []
         self._draining_since: float | None = None
         self._client_at = float('-inf')
-        self._newer_version = threading.Event()
         self._loop = _loop.Loop()
         self._figures = metrics.Metrics('entry')
+        self._configuration = _configuration.Follower(
+            given.name,
+            platform,
+            self._routes,
+            self._loop,
+            self._handle_early_packets,
+            log,
+        )
 
     def run(self) -> None:
         """Serve until a drain has finished."""
@@ -81,19 +88,21 @@
         )
         is_ready = _http.readiness(self._platform.readiness_path, self._is_ready)
         _http.Server(self._given.ready, is_ready, self._loop)
-        shown = _http.figures(self._figures.text, self._status)
+        shown = _http.pages(
+            {
+                '/metrics': self._figures.text,
+                '/status': self._status,
+                _configuration.PEER_PATH: lambda: self._configuration.document,
+            },
+        )
         _http.Server(self._given.metrics, shown, self._loop)
         self._register_figures()
         self._loop.on_signal(signal.SIGTERM, self.drain)
         self._loop.on_signal(signal.SIGHUP, self._reload)
         self._loop.every(TICK_SECONDS, self._tick)
         self._log('entry_started', clients=str(self._given.clients))
-        for work in (
-            self._follow_configuration,
-            self._follow_members,
-            self._list_self,
-            self._read_newer_versions,
-        ):
+        self._configuration.start()
+        for work in (self._follow_members, self._list_self):
             _process.start(work, self._log)
         self._loop.run()
         self._log('entry_stopped', flows=self._flows.flow_count)
@@ -106,9 +115,9 @@
         gauge('configuration_version', lambda: self._routes.version)
         gauge('datagrams_unsent', lambda: self._agents.dropped + self._clients.dropped)
 
-    def _status(self) -> dict[str, object]:
+    def _status(self) -> bytes:
         now = self._clock()
-        return {
+        shown = {
             'name': self._given.name,
             'domain': self._given.domain,
             'version': self._routes.version,
@@ -126,6 +135,7 @@
                 for member in self._members.member_by_name.values()
             },
         }
+        return msgspec.json.encode(shown)
 
     def drain(self) -> None:
         """Fail the routers' checks, relay what still comes, then end."""
@@ -180,8 +190,7 @@
     def _tick(self) -> None:
         now = self._clock()
         self._outlet.apply(self._flows.tick(now))
-        if self._flows.newest_version > self._routes.version:
-            self._newer_version.set()
+        self._configuration.heard_of(self._flows.newest_version)
         if self._draining_since is None:
             return
         drained = now - self._draining_since
@@ -189,60 +198,13 @@
         if drained > MAX_DRAIN_SECONDS or (drained > MIN_DRAIN_SECONDS and is_quiet):
             self._loop.stop()
 
-    def _follow_configuration(self) -> None:
-        _process.follow_prefix(
-            self._platform.store,
-            self._platform.configuration_key,
-            CONFIGURATION_WAIT_SECONDS,
-            lambda listing: self._post(self._on_configuration_listing, listing),
-            lambda changes: self._post(self._on_configuration_changes, changes),
-            self._log,
-        )
-
     def _post(self, call: typing.Callable[[typing.Any], None], news: object) -> None:
         self._loop.post(lambda: call(news))
 
-    def _on_configuration_listing(self, listing: store.Listing) -> None:
-        for item in listing.items:
-            self._adopt(item)
-
-    def _on_configuration_changes(self, changes: store.Changes) -> None:
-        for item in changes.written:
-            self._adopt(item)
-
-    def _adopt(self, item: store.Item) -> None:
-        if item.key != self._platform.configuration_key:
-            return
-        try:
-            table = self._platform.read_routes(item.data)
-        except errors.PlatformFormatError as error:
-            self._log('configuration_malformed', error=str(error))
-            return
-        if self._routes.adopt(table):
-            self._log(
-                'configuration_adopted',
-                version=table.version,
-                routes=self._routes.count,
-                revision=item.revision,
-            )
-            self._handle_early_packets()
-
-    def _read_newer_versions(self) -> None:
-        """Read the configuration when an agent has heard of a newer version."""
-        key = self._platform.configuration_key
-        while True:
-            self._newer_version.wait()
-            try:
-                self._post(self._adopt, self._platform.store.get(key))
-            except errors.PlatformUnavailableError as error:
-                self._log('newer_version_unread', error=str(error))
-            time.sleep(NEWER_SECONDS)
-            self._newer_version.clear()
-
     def _follow_members(self) -> None:
         _process.follow_prefix(
             self._platform.store,
-            listings.AGENTS,
+            listings.PREFIX,
             MEMBERS_WAIT_SECONDS,
             lambda listing: self._post(self._on_members_listing, listing),
             lambda changes: self._post(self._on_members_changes, changes),
@@ -251,7 +213,10 @@
 
     def _list_self(self) -> None:
         key, data = listings.entry_item(
-            self._given.name, self._given.domain, self._given.agents
+            self._given.name,
+            self._given.domain,
+            self._given.agents,
+            self._given.metrics,
         )
         item = _process.until_answered(
             lambda: self._platform.store.get(key), self._log, 'get own listing'
@@ -266,11 +231,15 @@
         names = set()
         for item in listing.items:
             names.add(item.key.removeprefix(listings.AGENTS))
-            self._list_member(item)
+            self._list_process(item)
         self._members.unlist_others(names, now)
         if self._listed_at is None:
             self._listed_at = now
-        self._log('members_listed', count=len(names), revision=listing.revision)
+        self._log(
+            'members_listed',
+            count=len(self._members.member_by_name),
+            revision=listing.revision,
+        )
         self._tick()
         self._handle_early_packets()
 
@@ -280,8 +249,19 @@
             member = self._members.unlist(name, self._clock())
             if member is not None:
                 self._log('member_unlisted', member=name, state=member.status.state)
+            self._configuration.peer_by_name.pop(
+                key.removeprefix(listings.ENTRIES), None
+            )
         for item in changes.written:
+            self._list_process(item)
+
+    def _list_process(self, item: store.Item) -> None:
+        """Take what the store says of an agent or an entry."""
+        peer = listings.read_entry(item)
+        if peer is None:
             self._list_member(item)
+        else:
+            self._configuration.peer_by_name[peer.name] = peer
 
     def _list_member(self, item: store.Item) -> None:
         member = listings.read_agent(item)
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -20,6 +20,19 @@
 class _Entry(msgspec.Struct):
     domain: str
     address: str
+    figures: str = ''
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """An entry as the service lists it.
+
+    :param address: its address for messages of agents.
+    :param figures: its HTTP address of metrics, status and configuration.
+    """
+
+    name: str
+    address: addresses.Address
+    figures: addresses.Address | None
 
 
 def agent_item(
@@ -30,9 +43,15 @@
     return AGENTS + name, msgspec.json.encode(listed)
 
 
-def entry_item(name: str, domain: str, address: addresses.Address) -> tuple[str, bytes]:
+def entry_item(
+    name: str,
+    domain: str,
+    address: addresses.Address,
+    figures: addresses.Address,
+) -> tuple[str, bytes]:
     """Return key and value of an entry."""
-    return ENTRIES + name, msgspec.json.encode(_Entry(domain, str(address)))
+    listed = _Entry(domain, str(address), str(figures))
+    return ENTRIES + name, msgspec.json.encode(listed)
 
 
 def read_agent(item: store.Item) -> relay_members.Member | None:
@@ -50,12 +69,14 @@
     )
 
 
-def read_entry(item: store.Item) -> addresses.Address | None:
-    """Return the address of the entry that an item lists, None when it lists none."""
+def read_entry(item: store.Item) -> Peer | None:
+    """Return the entry that an item lists, None when it lists none."""
     if not item.key.startswith(ENTRIES):
         return None
     try:
         listed = msgspec.json.decode(item.data, type=_Entry)
-        return addresses.parse(listed.address)
+        address = addresses.parse(listed.address)
+        figures = addresses.parse(listed.figures) if listed.figures else None
     except (msgspec.DecodeError, ValueError):
         return None
+    return Peer(item.key.removeprefix(ENTRIES), address, figures)
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -145,4 +145,5 @@
         self.send_header('Content-Type', 'application/json')
         self.send_header('Content-Length', str(len(raw)))
         self.end_headers()
-        self.wfile.write(raw)
+        with contextlib.suppress(ConnectionError):  # the caller has gone
+            self.wfile.write(raw)
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -2,18 +2,21 @@
 
 import contextlib
 import http.client
+import http.server
 import json
 import pathlib
 import socket
 import struct
 import subprocess
 import sys
+import threading
 import time
 
 import flow_packets
 import pytest
 
 from egretjunction import addresses
+from egretjunction.wire import relaying
 from tests.platform import store_standin
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -118,6 +121,12 @@
         accepted = self.answer(port, SYN | ACK, 500)
         assert self.client.recv(2048) == accepted
 
+    def ping_agent(self, version):
+        """Tell the agent of a version, as another entry does."""
+        ping = relaying.encode(relaying.Ping(version))
+        self.client.sendto(ping, (AGENT_HOST, self.port))
+        self.client.recv(2048)
+
     def close(self):
         """End every process that was started."""
         for process in self.processes.values():
@@ -146,6 +155,31 @@
     )
 
 
+@contextlib.contextmanager
+def _peer(document):
+    """Yield the address of an entry that serves a configuration, and its calls."""
+    calls = []
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def log_message(self, *_):
+            """Keep quiet."""
+
+        def do_GET(self):
+            calls.append(self.path)
+            self.send_response(200)
+            self.send_header('Content-Length', str(len(document)))
+            self.end_headers()
+            self.wfile.write(document)
+
+    server = http.server.HTTPServer(('127.0.0.1', 0), Handler)
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+    thread.start()
+    yield '{}:{}'.format(*server.server_address), calls
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
 def _until(check):
     deadline = time.monotonic() + WAIT_SECONDS
     while time.monotonic() < deadline:
@@ -220,6 +254,21 @@
     assert system.client.recv(2048)[22] == RST
 
 
+def test_entry_that_the_store_refuses_follows_its_peers(running):
+    """Seen in an incident: one entry in four was nine seconds behind the others."""
+    system, state = running
+    newer = {'version': 8, 'routes': []}
+    with _peer(json.dumps(newer).encode()) as (address, calls):
+        listed = {'domain': 'a', 'address': '127.0.10.8:1', 'figures': address}
+        state.write({'egretjunction/entries/e-2': json.dumps(listed).encode()}, [])
+        time.sleep(0.2)
+        state.status = 503
+        system.ping_agent(8)
+        _until(lambda: b'"version":8' in system.get('entry', '/status')[1])
+    assert calls == ['/configuration']
+    assert 'source=e-2' in system.log('entry')
+
+
 def test_draining_backend_server_gets_no_first_packet(running):
     system, _ = running
     assert system.announce(2, 'draining') == 200
