--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -51,7 +51,9 @@
 
 def test_every_logged_event_is_listed_for_operators():
     page = (ROOT / 'docs' / 'OPERATIONS.md').read_text('utf-8')
-    pattern = r"(?:\.(?:info|warning|error)\(|effects\.Log\()\s*'([a-z_]+)'"
+    pattern = (
+        r"(?:\.(?:info|warning|error)\(|effects\.Log\(|_log\(|\blog\()\s*'([a-z_]+)'"
+    )
     events = {event for source in SOURCES for event in re.findall(pattern, source)}
     assert len(events) > 15
     assert not {event for event in events if f'`{event}`' not in page}
