--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -16,11 +16,9 @@
 IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
 ENTRY_SECONDS = 10.0  # an entry not heard of for this long is told nothing more
 MAX_FLOWS = 20_000
-NUMBER_BITS = 32
-TOKEN_RANGE = 2**NUMBER_BITS
 
 
-class RelayAgent:
+class AgentFlows:
     """Decides about each packet and message of one agent.
 
     :param server: what is known of the backend server.
@@ -106,7 +104,7 @@
                         flow=packet.key.hex(),
                         server=self.server.name,
                         work=held.status.work,
-                        ms=_milliseconds(now - flow.opened_at),
+                        ms=effects.milliseconds(now - flow.opened_at),
                     ),
                 )
         if not packet.is_opening:
@@ -307,7 +305,7 @@
             return True
         if flow.server_sequence is None:
             return False
-        ahead = (packet.acknowledged - flow.server_sequence) % TOKEN_RANGE
+        ahead = (packet.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
         return ahead <= 1
 
     def _on_find(
@@ -318,7 +316,7 @@
     ) -> list[effects.Effect]:
         flow = self._flow_by_key.get(find.key)
         if flow is not None and flow.server_sequence is not None and not flow.is_open:
-            ahead = (find.acknowledged - flow.server_sequence) % TOKEN_RANGE
+            ahead = (find.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
             flow = flow if ahead <= 1 else None
         answer: relaying.Message
         if flow is not None and not flow.is_provisional:
@@ -385,7 +383,7 @@
         token: int,
         until: float,
     ) -> int:
-        self._token = self._token % (TOKEN_RANGE - 1) + 1
+        self._token = self._token % (packets.SEQUENCE_RANGE - 1) + 1
         question = relay_flows.Question(packet, entry, token, until)
         self._question_by_token[self._token] = question
         return self._token
@@ -492,7 +490,3 @@
         for entry, heard_at in list(self._heard_by_entry.items()):
             if now - heard_at > ENTRY_SECONDS:
                 self._heard_by_entry.pop(entry)
-
-
-def _milliseconds(seconds: float) -> float:
-    return round(seconds * 1000, 1)
--- a/src/egretjunction/decisions/relay_effects.py
+++ b/src/egretjunction/decisions/relay_effects.py
@@ -3,6 +3,8 @@
 from egretjunction import addresses
 from egretjunction.wire import relaying
 
+MILLISECONDS_PER_SECOND = 1_000
+
 
 class Send:
     """Send a message to another process of the system."""
@@ -62,3 +64,8 @@
 
 
 Effect = Send | ToServer | ToClient | Reset | Log
+
+
+def milliseconds(seconds: float) -> float:
+    """Return a duration as it stands in the log."""
+    return round(seconds * MILLISECONDS_PER_SECOND, 1)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -20,11 +20,9 @@
 QUEUE_PACKETS = 32  # both windows of a flow
 SEARCH_WIDTH = 12  # agents asked at once
 MAX_PENDING = 4096
-NUMBER_BITS = 32
-TOKEN_RANGE = 2**NUMBER_BITS
 
 
-class RelayEntry:
+class EntryFlows:
     """Decides about each packet and message of one entry.
 
     :param members: the agents it knows.
@@ -360,7 +358,7 @@
                 flows=member.status.flows,
                 tried=len(offer.tried),
                 final=offer.is_final,
-                ms=_milliseconds(now - offer.began_at),
+                ms=effects.milliseconds(now - offer.began_at),
             )
             return [placed, *self._flush(offer.early, now)]
         search = self._search_by_token[token]
@@ -372,7 +370,7 @@
             flow=held.key.hex(),
             member=member.name,
             packets=len(search.queue),
-            ms=_milliseconds(now - search.began_at),
+            ms=effects.milliseconds(now - search.began_at),
         )
         return [
             located,
@@ -469,7 +467,7 @@
         """Choose the agent whose server the client has acknowledged."""
         flow.is_settled = True
         for ahead in (0, 1):
-            sequence = (packet.acknowledged - ahead) % TOKEN_RANGE
+            sequence = (packet.acknowledged - ahead) % packets.SEQUENCE_RANGE
             owner = flow.owner_by_sequence.get(sequence)
             if owner is not None:
                 flow.owner = owner
@@ -478,7 +476,7 @@
         return effects.Reset(packet.key, packet.acknowledged, reason)
 
     def _next_token(self, key: bytes) -> int:
-        self._token = self._token % (TOKEN_RANGE - 1) + 1
+        self._token = self._token % (packets.SEQUENCE_RANGE - 1) + 1
         self._token_by_key[key] = self._token
         return self._token
 
@@ -497,7 +495,3 @@
         for member in self.members.forgettable(now):
             if not member.is_listed:
                 self.members.remove(member)
-
-
-def _milliseconds(seconds: float) -> float:
-    return round(seconds * 1000, 1)
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -11,6 +11,7 @@
 
 PING_SECONDS = 0.5
 SILENT_PING_SECONDS = 0.15  # an agent that comes back is found this soon
+LOST_SECONDS = 10.0  # longer than a machine needs to come back after a power loss
 LOST_PING_SECONDS = 2.0
 SUSPECT_SECONDS = 0.25  # an answer within a failure domain takes a few milliseconds
 CUT_OFF_SECONDS = 0.5  # all agents of a service do not miss two pings by chance
@@ -209,7 +210,7 @@
 
 
 def _ping_interval(member: Member, now: float) -> float:
-    if member.is_dead(now) and member.silent_seconds(now) > LOST_PING_SECONDS * 5:
+    if member.silent_seconds(now) > LOST_SECONDS:
         return LOST_PING_SECONDS
     if math.isinf(member.asked_at) and not math.isinf(member.heard_at):
         return PING_SECONDS
--- a/src/egretjunction/decisions/relay_work.py
+++ b/src/egretjunction/decisions/relay_work.py
@@ -5,8 +5,6 @@
 RESERVED_SECONDS = 0.06  # the request of a new flow follows its handshake at once
 BUSY_SECONDS = 1.0  # without news of a request it is taken as done; deadlines are 1 s
 QUEUE_SHARE = 0.5  # of the slots; hides the way between an answer and the next offer
-SEQUENCE_BITS = 32
-SEQUENCE_RANGE = 2**SEQUENCE_BITS
 
 
 class Work:
@@ -37,9 +35,12 @@
         """
         if not packet.data_bytes:
             return
-        end = (packet.sequence + packet.data_bytes) % SEQUENCE_RANGE
+        end = (packet.sequence + packet.data_bytes) % packets.SEQUENCE_RANGE
         seen = self._data_end_by_key.get(packet.key)
-        if seen is not None and (seen - end) % SEQUENCE_RANGE < SEQUENCE_RANGE // 2:
+        if (
+            seen is not None
+            and (seen - end) % packets.SEQUENCE_RANGE < packets.SEQUENCE_RANGE // 2
+        ):
             return
         self._data_end_by_key[packet.key] = end
         self._reserved_at_by_key.pop(packet.key, None)
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -14,7 +14,6 @@
 from egretjunction.wire import relaying
 
 RETRY_SECONDS = 0.4  # an outage of the store ends at most this long before a call
-MILLISECONDS = 1_000
 Logger = typing.Callable[..., None]
 Work = typing.Callable[[], None]
 
@@ -88,7 +87,7 @@
         self._figures.count(event.event)
         taken = event.fields.get('ms')
         if isinstance(taken, float):
-            self._figures.latency(event.event, taken / MILLISECONDS)
+            self._figures.latency(event.event, taken / effects.MILLISECONDS_PER_SECOND)
         self._log(event.event, **event.fields)
 
 
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -43,7 +43,7 @@
         self._log = log
         self._clock = time.monotonic
         self._server = relay_server.Server(given.service, given.heartbeat_ms / 1000)
-        self._flows = relay_agent.RelayAgent(self._server, platform.codec)
+        self._flows = relay_agent.AgentFlows(self._server, platform.codec)
         self._listing: threading.Thread | None = None
         self._ending_since: float | None = None
         self._loop = _loop.Loop()
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -52,7 +52,7 @@
         self._clock = time.monotonic
         self._members = relay_members.Members(given.domain)
         self._routes = relay_routes.Routes()
-        self._flows = relay_entry.RelayEntry(
+        self._flows = relay_entry.EntryFlows(
             self._members, self._routes, platform.codec
         )
         self._is_listed = False
--- a/src/egretjunction/relay/packets.py
+++ b/src/egretjunction/relay/packets.py
@@ -4,6 +4,9 @@
 
 from egretjunction import addresses
 
+SEQUENCE_BITS = 32
+SEQUENCE_RANGE = 2**SEQUENCE_BITS  # sequence numbers begin anew at this one
+
 
 class Packet:
     """One packet of an opaque flow.
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -140,7 +140,7 @@
 
 def test_silence_of_a_server_that_was_never_heard_of_settles_nothing():
     """Seen on sylfaen-edge quiet-1: the server of a release was not up yet."""
-    server_less = build.relay_agent.RelayAgent(
+    server_less = build.relay_agent.AgentFlows(
         build.relay_server.Server(build.SERVICE, 1.0), build.Codec()
     )
     server_less.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
--- a/tests/decisions/test_relay_machine.py
+++ b/tests/decisions/test_relay_machine.py
@@ -96,7 +96,7 @@
 
     def _start_agent(self, name):
         server = relay_server.Server(build.SERVICE, 1.0)
-        self.agent_by_name[name] = relay_agent.RelayAgent(server, build.Codec())
+        self.agent_by_name[name] = relay_agent.AgentFlows(server, build.Codec())
         self._beat(name)
 
     def _start_entry(self, name):
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -119,7 +119,7 @@
 def agent(is_known=True, slots=2):
     """Return an agent whose server is up, known since its birth or not."""
     server = relay_server.Server(SERVICE, 1.0)
-    built = relay_agent.RelayAgent(server, Codec())
+    built = relay_agent.AgentFlows(server, Codec())
     built.on_heartbeat(beat(sequence=1 if is_known else 9, slots=slots), 0)
     return built
 
@@ -147,7 +147,7 @@
     in_force = relay_routes.Routes()
     route = relay_routes.Route('r', ROUTE, {SERVICE: 1})
     in_force.adopt(routes or relay_routes.RouteTable(1, [route]))
-    built = relay_entry.RelayEntry(members, in_force, Codec())
+    built = relay_entry.EntryFlows(members, in_force, Codec())
     for name in names:
         listed = relay_members.Member(name, SERVICE, domain, member_address(name))
         members.list_member(listed)
