A reset that answers a question is a denial, not a reset for the client

A flow changed its entry between handshake and first data, all agents were asked, and a server that had just started answered with a reset instead of bouncing the packet; the agent passed it on. Ruled out: a reset of the system's own (no flow_reset logged), and twins (the agent had no record). A server's acceptance of a first packet no longer settles a question either.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -82,39 +82,51 @@
         self.server.answered(now)
         if packet.is_bounced:
             return self._on_bounced(packet, now)
-        found: list[effects.Effect] = [effects.ToClient(packet.key, packet.raw)]
         flow = self._flow_by_key.get(packet.key)
-        if flow is None and (packet.is_opening or self.server.is_known_since_birth):
+        if packet.is_reset and not _is_open_here(flow):
+            return self._on_foreign_reset(packet.key, now)
+        found: list[effects.Effect] = [effects.ToClient(packet.key, packet.raw)]
+        if packet.is_opening:
+            return found + self._on_accepted(packet, flow, now)
+        if flow is None and self.server.is_known_since_birth:
             return found
         if flow is None:
             flow = self._adopt(packet.key, now)
         flow.used_at = now
         if flow.is_provisional:
             found += self._settle(packet.key, flow, now)
-        if packet.is_opening and flow.server_sequence is None:
-            flow.server_sequence = packet.sequence
-            if flow.entry is not None:
-                held = relaying.Held(
-                    flow.token, packet.key, packet.sequence, self.status(now)
-                )
-                found.append(effects.Send(flow.entry, held))
-                found.append(
-                    effects.Log(
-                        'flow_taken',
-                        flow=packet.key.hex(),
-                        server=self.server.name,
-                        work=held.status.work,
-                        ms=effects.milliseconds(now - flow.opened_at),
-                    ),
-                )
-        if not packet.is_opening:
-            flow.is_confirmed = True
+        flow.is_confirmed = True
         if packet.data_bytes:
             self._work.answered(packet.key)
         if packet.is_reset or packet.is_last:
             self._end(packet.key, flow, now)
         return found + self._call_waiting(now)
 
+    def _on_accepted(
+        self,
+        packet: packets.Packet,
+        flow: relay_flows.Flow | None,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Tell the entry that the server accepts the flow that it has offered."""
+        is_offered = flow is not None and not flow.is_provisional
+        if flow is None or not is_offered or flow.server_sequence is not None:
+            return []
+        flow.used_at = now
+        flow.server_sequence = packet.sequence
+        if flow.entry is None:
+            return []
+        status = self.status(now)
+        held = relaying.Held(flow.token, packet.key, packet.sequence, status)
+        told = effects.Log(
+            'flow_taken',
+            flow=packet.key.hex(),
+            server=self.server.name,
+            work=status.work,
+            ms=effects.milliseconds(now - flow.opened_at),
+        )
+        return [effects.Send(flow.entry, held), told]
+
     def on_heartbeat(
         self,
         beat: relay_server.Heartbeat,
@@ -187,21 +199,20 @@
             self.server.is_known_since_birth or self.server.is_gone,
         )
 
-    def tell_entries(self, now: float) -> list[effects.Effect]:
-        """Return the status for every entry heard of lately."""
-        self._told_state = self.state(now)
-        pong = relaying.Pong(self._tag, self.status(now))
-        return [effects.Send(entry, pong) for entry in self._heard_by_entry]
-
-    def greet(
+    def tell_entries(
         self,
-        entries: typing.Iterable[addresses.Address],
         now: float,
+        also: typing.Iterable[addresses.Address] = (),
     ) -> list[effects.Effect]:
-        """Make this agent known to entries that it has read of."""
-        for entry in entries:
+        """Return the status for every entry heard of lately.
+
+        :param also: entries that were read of, to which this agent is new.
+        """
+        for entry in also:
             self._heard_by_entry.setdefault(entry, now)
-        return self.tell_entries(now)
+        self._told_state = self.state(now)
+        pong = relaying.Pong(self._tag, self.status(now))
+        return [effects.Send(entry, pong) for entry in self._heard_by_entry]
 
     def _call_waiting(self, now: float) -> list[effects.Effect]:
         """Tell entries with waiting first packets that there is room."""
@@ -272,7 +283,7 @@
         flow = self._flow_by_key.get(packet.key)
         if flow is None and not self.server.is_known_since_birth:
             return self._inquire(packet, entry, 0, now)
-        if flow is None or not self._belongs(flow, packet):
+        if flow is None or not _belongs(flow, packet):
             returned = relaying.Returned(packet.raw, self.status(now))
             return [effects.Send(entry, returned)]
         if flow.is_provisional:
@@ -299,15 +310,6 @@
             self._end(packet.key, flow, now)
         return [effects.ToServer(packet.raw)]
 
-    def _belongs(self, flow: relay_flows.Flow, packet: packets.Packet) -> bool:
-        """Tell whether a packet is one of this flow and not of its twin elsewhere."""
-        if flow.is_open or packet.is_first:
-            return True
-        if flow.server_sequence is None:
-            return False
-        ahead = (packet.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
-        return ahead <= 1
-
     def _on_find(
         self,
         find: relaying.Find,
@@ -338,7 +340,7 @@
         flow = self._flow_by_key.get(packet.key)
         if flow is None or flow.is_provisional:
             return self._inquire(packet, entry, ask.token, now)
-        if not self._belongs(flow, packet):
+        if not _belongs(flow, packet):
             denied = relaying.NotHeld(ask.token, self.status(now))
             return [effects.Send(entry, denied)]
         held = relaying.Held(
@@ -427,14 +429,22 @@
             return self._on_lost_flow(flow, packet, now)
         if packet.is_first:
             self._drop(packet.key)
-            answer: relaying.Message = relaying.Passed(
-                question.token, relaying.Reason.REFUSED, self.status(now)
-            )
-        elif question.token:
-            answer = relaying.NotHeld(question.token, self.status(now))
-        else:
-            answer = relaying.Returned(question.packet, self.status(now))
-        return [effects.Send(question.entry, answer)]
+        return [_denial(question, self.status(now))]
+
+    def _on_foreign_reset(self, key: bytes, now: float) -> list[effects.Effect]:
+        """Take a server's reset of a flow that it does not hold open as a denial.
+
+        The client may have the flow open at another server.
+        """
+        found: list[effects.Effect] = [
+            effects.Log('reset_withheld', flow=key.hex(), server=self.server.name),
+        ]
+        for token, question in list(self._question_by_token.items()):
+            if question.key == key:
+                self._question_by_token.pop(token)
+                found.append(_denial(question, self.status(now)))
+        self._drop(key)
+        return found
 
     def _on_lost_flow(
         self,
@@ -490,3 +500,30 @@
         for entry, heard_at in list(self._heard_by_entry.items()):
             if now - heard_at > ENTRY_SECONDS:
                 self._heard_by_entry.pop(entry)
+
+
+def _is_open_here(flow: relay_flows.Flow | None) -> bool:
+    """Tell whether the client has a flow open at this agent's server."""
+    return flow is not None and flow.is_open and not flow.is_provisional
+
+
+def _belongs(flow: relay_flows.Flow, packet: packets.Packet) -> bool:
+    """Tell whether a packet is one of this flow and not of its twin elsewhere."""
+    if flow.is_open or packet.is_first:
+        return True
+    if flow.server_sequence is None:
+        return False
+    ahead = (packet.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
+    return ahead <= 1
+
+
+def _denial(question: relay_flows.Question, status: relaying.Status) -> effects.Send:
+    """Return the answer to whoever asked about a flow that the server denies."""
+    answer: relaying.Message
+    if question.is_first:
+        answer = relaying.Passed(question.token, relaying.Reason.REFUSED, status)
+    elif question.token:
+        answer = relaying.NotHeld(question.token, status)
+    else:
+        answer = relaying.Returned(question.packet, status)
+    return effects.Send(question.entry, answer)
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -190,7 +190,9 @@
         found = [listings.read_entry(item) for item in listing.items]
         entries = [peer.address for peer in found if peer is not None]
         self._loop.post(
-            lambda: self._outlet.apply(self._flows.greet(entries, self._clock())),
+            lambda: self._outlet.apply(
+                self._flows.tell_entries(self._clock(), entries)
+            ),
         )
         if any(item.key == key and item.data == data for item in listing.items):
             return
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -205,3 +205,49 @@
     agent.on_message(relaying.Ping(1), build.ENTRY, 0)
     ((pong, address),) = build.sent(agent.leave(1), relaying.Pong)
     assert (pong.status.state, address) == (relaying.State.GONE, build.ENTRY)
+
+
+def test_reset_that_answers_a_question_is_no_reset_for_the_client():
+    """Seen on sylfaen-edge scale-2, seed 683287661185.
+
+    A server that had just started answered a packet of a flow at another server with
+    a reset instead of bouncing it, and the agent passed the reset on.
+    """
+    agent = build.agent(is_known=False)
+    agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
+    reset = build.packet(flags=('is_reset',))
+    found = agent.on_server_packet(reset, 0.001)
+    assert not build.of_kind(found, effects.ToClient)
+    ((denied, _),) = build.sent(found, relaying.NotHeld)
+    assert denied.token == 5
+    assert agent.flow_count == 0
+
+
+def test_reset_that_answers_a_delivered_packet_of_an_unknown_flow_returns_it():
+    agent = build.agent(is_known=False)
+    agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, 0)
+    found = agent.on_server_packet(build.packet(flags=('is_reset',)), 0.001)
+    assert not build.of_kind(found, effects.ToClient)
+    ((returned, _),) = build.sent(found, relaying.Returned)
+    assert returned.packet == build.request().raw
+
+
+def test_reset_of_a_half_open_twin_stays_away_from_the_client():
+    agent = build.agent()
+    _take(agent, build.first())
+    found = agent.on_server_packet(build.packet(flags=('is_reset',)), 1)
+    assert not build.of_kind(found, effects.ToClient)
+
+
+def test_reset_of_an_open_flow_reaches_its_client():
+    agent = build.agent()
+    _take(agent, build.first())
+    agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, 0.01)
+    found = agent.on_server_packet(build.packet(flags=('is_reset',)), 1)
+    assert build.of_kind(found, effects.ToClient)
+
+
+def test_repeated_acceptance_of_a_first_packet_does_not_settle_a_question():
+    agent = build.agent(is_known=False)
+    agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
+    assert not build.sent(agent.on_server_packet(build.opening(), 0.001), relaying.Held)
