--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -208,8 +208,8 @@
 
         :param also: entries that were read of, to which this agent is new.
         """
-        for entry in also:
-            self._heard_by_entry.setdefault(entry, now)
+        for new_entry in also:
+            self._heard_by_entry.setdefault(new_entry, now)
         self._told_state = self.state(now)
         pong = relaying.Pong(self._tag, self.status(now))
         return [effects.Send(entry, pong) for entry in self._heard_by_entry]
