A late copy of a first packet leaves its open flow alone

An entry that could not start for 2.5 s while the store was silent offered first packets that it had kept; flows of some were open at the same agent through another entry. The agent began a new record, forgot it after 1.4 s as never opened, and denied the open flow. Ruled out: a restarted agent (none was), loss of heartbeats.

An agent answers such a copy as held; an entry keeps early packets for 0.6 s only.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -231,6 +231,13 @@
         entry: addresses.Address,
         now: float,
     ) -> list[effects.Effect]:
+        packet = self._codec.from_client(offer.packet)
+        flow = self._flow_by_key.get(packet.key)
+        if flow is not None and _is_copy(flow, packet):
+            held = relaying.Held(
+                offer.token, packet.key, flow.server_sequence or 0, self.status(now)
+            )
+            return [effects.ToServer(packet.raw), effects.Send(entry, held)]
         reason = self._reason_to_pass(offer, now)
         if reason is not None:
             if reason is relaying.Reason.BUSY:
@@ -238,18 +245,17 @@
             passed = relaying.Passed(offer.token, reason, self.status(now))
             told = effects.Log(
                 'flow_passed',
-                flow=self._codec.from_client(offer.packet).key.hex(),
+                flow=packet.key.hex(),
                 reason=reason.name.lower(),
                 work=passed.status.work,
                 state=passed.status.state.name.lower(),
             )
             return [effects.Send(entry, passed), told]
-        packet = self._codec.from_client(offer.packet)
-        flow = self._flow_by_key.get(packet.key)
         if flow is None or flow.is_open or flow.ended_at is not None:
             self._drop(packet.key)
             flow = relay_flows.Flow(now)
             self._flow_by_key[packet.key] = flow
+        flow.first_sequence = packet.sequence
         flow.entry = entry
         flow.token = offer.token
         self._work.reserve(packet.key, now)
@@ -527,3 +533,10 @@
     else:
         answer = relaying.Returned(question.packet, status)
     return effects.Send(question.entry, answer)
+
+
+def _is_copy(flow: relay_flows.Flow, packet: packets.Packet) -> bool:
+    """Tell whether a first packet is a late copy of the one of an open flow."""
+    if not _is_open_here(flow) or flow.ended_at is not None:
+        return False
+    return flow.first_sequence is None or flow.first_sequence == packet.sequence
--- a/src/egretjunction/decisions/relay_flows.py
+++ b/src/egretjunction/decisions/relay_flows.py
@@ -10,6 +10,8 @@
     :param is_open: whether the client has acknowledged this agent's server.
     :param is_confirmed: whether the server has answered a packet after the first.
     :param is_provisional: whether the server was asked about it and has not told.
+    :param first_sequence: the sequence number that its client began with, None for
+        an adopted flow.
     :param server_sequence: the sequence number that its server began with.
     """
 
@@ -17,6 +19,7 @@
         'acknowledged',
         'ended_at',
         'entry',
+        'first_sequence',
         'is_confirmed',
         'is_open',
         'is_provisional',
@@ -34,6 +37,7 @@
         self.is_provisional = False
         self.ended_at: float | None = None
         self.server_sequence: int | None = None
+        self.first_sequence: int | None = None
         self.acknowledged = 0
         self.entry: addresses.Address | None = None
         self.token = 0
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -1,5 +1,6 @@
 """The entry that relays: takes clients' packets and finds the agents that own them."""
 
+import collections
 import signal
 import time
 import typing
@@ -24,6 +25,7 @@
 from egretjunction.wire import relaying
 
 TICK_SECONDS = 0.025
+EARLY_SECONDS = 0.6  # copies of older packets have come by then, maybe elsewhere
 MAX_EARLY_PACKETS = 512  # of clients, while configuration and agents are read
 MEMBERS_WAIT_SECONDS = 15.0
 MIN_DRAIN_SECONDS = 1.2  # routers take two failed checks, half a second apart
@@ -57,7 +59,9 @@
         )
         self._is_listed = False
         self._listed_at: float | None = None
-        self._early_packets: list[packets.Packet] = []
+        self._early_packets: collections.deque[tuple[float, packets.Packet]] = (
+            collections.deque(maxlen=MAX_EARLY_PACKETS)
+        )
         self._draining_since: float | None = None
         self._client_at = float('-inf')
         self._loop = _loop.Loop()
@@ -166,17 +170,19 @@
         self._client_at = self._clock()
         if self._is_informed():
             self._outlet.apply(self._flows.on_client_packet(packet, self._clock()))
-        elif len(self._early_packets) < MAX_EARLY_PACKETS:
-            self._early_packets.append(packet)
+        else:
+            self._early_packets.append((self._client_at, packet))
 
     def _handle_early_packets(self) -> None:
         """Handle what came before configuration and agents were known."""
         if not self._is_informed():
             return
-        early = self._early_packets
-        self._early_packets = []
-        for packet in early:
-            self._outlet.apply(self._flows.on_client_packet(packet, self._clock()))
+        early = list(self._early_packets)
+        self._early_packets.clear()
+        now = self._clock()
+        for came_at, packet in early:
+            if now - came_at < EARLY_SECONDS:
+                self._outlet.apply(self._flows.on_client_packet(packet, now))
 
     def _on_agent(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -251,3 +251,34 @@
     agent = build.agent(is_known=False)
     agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
     assert not build.sent(agent.on_server_packet(build.opening(), 0.001), relaying.Held)
+
+
+def test_late_copy_of_a_first_packet_leaves_its_open_flow_alone():
+    """Seen on sylfaen-edge kills-while-store-is-down, seed 547656640075.
+
+    An entry that could not start for 2.5 s offered a first packet that it had kept,
+    of a flow that had been opened through another entry meanwhile.
+    """
+    agent = build.agent()
+    _take(agent, build.first())
+    agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, 0.01)
+    agent.on_server_packet(build.answer(), 0.04)
+    late = build.offer(build.first(), token=9, is_final=True)
+    found = agent.on_message(late, build.OTHER_ENTRY, 2.5)
+    ((held, _),) = build.sent(found, relaying.Held)
+    assert (held.token, held.sequence) == (9, 500)
+    for step in range(100):
+        agent.tick(2.5 + step * 0.025)
+    found = agent.on_message(relaying.Find(5, build.KEY, 501), build.ENTRY, 5.1)
+    assert build.sent(found, relaying.Held)
+
+
+def test_first_packet_of_a_reused_port_begins_a_new_flow():
+    agent = build.agent()
+    _take(agent, build.first())
+    agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, 0.01)
+    agent.on_server_packet(build.answer(), 0.04)
+    again = build.offer(build.first(sequence=7000), token=9)
+    found = agent.on_message(again, build.ENTRY, 2.5)
+    assert build.of_kind(found, effects.ToServer)
+    assert not build.sent(found, relaying.Held)
