QUIC parts stand in a package of their own

The modules of entries, agents and flows moved to egretjunction.quic; the public egretjunction.caller stays. No behaviour changes; tests moved along.

--- a/bench/loads.py
+++ b/bench/loads.py
@@ -3,12 +3,12 @@
 import msgspec
 
 from bench import fitting
-from egretjunction import entry
 from egretjunction import platform
 from egretjunction.decisions import configuration
 from egretjunction.decisions import entry_control
 from egretjunction.decisions import membership
 from egretjunction.decisions import repairs
+from egretjunction.quic import entry
 
 ENTRIES = 1200
 SERVERS = 13_000
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,9 +18,6 @@
 from aioquic.quic import connection as quic
 
 from bench import fitting
-from egretjunction import _flow_table
-from egretjunction import _flows
-from egretjunction import _quic
 from egretjunction import addresses
 from egretjunction import metrics
 from egretjunction.decisions import agent_control
@@ -31,6 +28,9 @@
 from egretjunction.decisions import membership
 from egretjunction.decisions import ownership
 from egretjunction.decisions import routing
+from egretjunction.quic import connections
+from egretjunction.quic import flow_table
+from egretjunction.quic import server_flow
 from egretjunction.standins import certificates
 from egretjunction.wire import messages
 from egretjunction.wire import packets
@@ -286,7 +286,7 @@
     }
 
 
-def _close_flows(held: list[_flows.Flow]) -> None:
+def _close_flows(held: list[server_flow.Flow]) -> None:
     for flow in held:
         flow.close()
         if flow._timer is not None:
@@ -294,13 +294,15 @@
     held.clear()
 
 
-def _open_flows(place: pathlib.Path, count: int) -> tuple[list[_flows.Flow], float]:
+def _open_flows(
+    place: pathlib.Path, count: int
+) -> tuple[list[server_flow.Flow], float]:
     """Complete handshakes and return the flows and the server's processor time."""
-    server = _quic.server_configuration(
+    server = connections.server_configuration(
         str(place / 'service-0.pem'),
         str(place / 'service-0.key'),
     )
-    table = _flow_table.FlowTable(
+    table = flow_table.FlowTable(
         KEY,
         'service-0',
         ownership.Owner(_address(1), 1),
@@ -317,18 +319,18 @@
 
 def _open_flow(
     place: pathlib.Path,
-    table: _flow_table.FlowTable,
+    table: flow_table.FlowTable,
     number: int,
-) -> tuple[_flows.Flow, float]:
+) -> tuple[server_flow.Flow, float]:
     outbox: list[bytes] = []
-    handlers = _flows.Handlers(
+    handlers = server_flow.Handlers(
         lambda _flow, payload, _caller: outbox.append(payload),
         lambda _stream: None,
         lambda _stream: None,
         table.remove,
     )
     client = quic.QuicConnection(
-        configuration=_quic.client_configuration(
+        configuration=connections.client_configuration(
             'service-0',
             str(place / 'authority.pem'),
         ),
--- a/bench/sockets.py
+++ b/bench/sockets.py
@@ -14,12 +14,12 @@
 import rich.table
 
 from egretjunction import addresses
-from egretjunction import entry
 from egretjunction import logs
 from egretjunction import settings
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import ownership
+from egretjunction.quic import entry
 from egretjunction.wire import packets
 
 OUTPUT = pathlib.Path(__file__).with_name('sockets.json')
--- a/src/egretjunction/caller.py
+++ b/src/egretjunction/caller.py
@@ -6,13 +6,13 @@
 import typing
 import uuid
 
-from egretjunction import _caller_flow
-from egretjunction import _headers
-from egretjunction import _quic
 from egretjunction import addresses
-from egretjunction import feeds
 from egretjunction import verdicts
 from egretjunction.decisions import retries
+from egretjunction.quic import caller_flow
+from egretjunction.quic import connections
+from egretjunction.quic import feeds
+from egretjunction.quic import http_headers
 
 DEFAULT_DEADLINE_SECONDS = 30.0
 FEED_RETRY_SECONDS = 0.2
@@ -118,7 +118,7 @@
         self._authority_file = authority_file
         self._random = random.Random(seed)
         self._budget = retries.Budget()
-        self._flow: _caller_flow.CallerFlow | None = None
+        self._flow: caller_flow.CallerFlow | None = None
         self._flow_lock = asyncio.Lock()
         self.connected_count = 0
 
@@ -142,7 +142,7 @@
         :param is_idempotent: whether it may run twice; by default the method says.
         """
         started = time.monotonic()
-        fields = {_headers.REQUEST_ID: uuid.uuid4().hex, **(headers or {})}
+        fields = {http_headers.REQUEST_ID: uuid.uuid4().hex, **(headers or {})}
         if is_idempotent is None:
             is_idempotent = method in IDEMPOTENT_METHODS
         call = _Call(
@@ -190,7 +190,7 @@
                 if update.event_id > last_id:
                     last_id = update.event_id
                     yield update
-        except _caller_flow.FlowError:
+        except caller_flow.FlowError:
             await asyncio.sleep(FEED_RETRY_SECONDS)
 
     async def close(self) -> None:
@@ -224,24 +224,24 @@
 
     async def _attempt(self, call: _Call) -> Outcome:
         left = call.deadline - time.monotonic()
-        sent: list[_caller_flow.Answer] = []
+        sent: list[caller_flow.Answer] = []
         try:
             return await asyncio.wait_for(self._exchange(call, sent), left)
         except TimeoutError:
             verdict = sent[0].verdict if sent else verdicts.Verdict.NOT_RUN
             return Outcome(verdict, reason='deadline has passed')
-        except _caller_flow.FlowError as error:
+        except caller_flow.FlowError as error:
             return Outcome(error.verdict, reason=str(error))
 
     async def _exchange(
         self,
         call: _Call,
-        sent: list[_caller_flow.Answer],
+        sent: list[caller_flow.Answer],
     ) -> Outcome:
         patience = retries.handshake_seconds(call.attempts)
         flow = await self._usable_flow(patience)
-        left_ms = int((call.deadline - time.monotonic()) * _headers.MS_PER_SECOND)
-        fields = {**call.headers, _headers.DEADLINE_MS: str(max(1, left_ms))}
+        left_ms = int((call.deadline - time.monotonic()) * http_headers.MS_PER_SECOND)
+        fields = {**call.headers, http_headers.DEADLINE_MS: str(max(1, left_ms))}
         pairs = self._pairs(call.method, call.path, fields, len(call.body))
         stream_id, answer = flow.start(pairs, has_body=bool(call.body))
         sent.append(answer)
@@ -256,7 +256,7 @@
             answer.status,
             answer.headers,
             bytes(answer.body),
-            answer.headers.get(_headers.REASON, ''),
+            answer.headers.get(http_headers.REASON, ''),
         )
 
     def _pairs(
@@ -265,7 +265,7 @@
         path: str,
         fields: dict[str, str],
         body_bytes: int,
-    ) -> _headers.Pairs:
+    ) -> http_headers.Pairs:
         pairs = [
             (b':method', method.encode()),
             (b':scheme', b'https'),
@@ -277,20 +277,20 @@
             pairs.append((b'content-length', str(body_bytes).encode()))
         return pairs
 
-    async def _usable_flow(self, patience: float) -> _caller_flow.CallerFlow:
+    async def _usable_flow(self, patience: float) -> caller_flow.CallerFlow:
         async with self._flow_lock:
             if self._flow is None or not self._flow.is_usable:
                 self._drop_flow()
                 self._flow = await self._connect(patience)
             return self._flow
 
-    async def _connect(self, patience: float) -> _caller_flow.CallerFlow:
+    async def _connect(self, patience: float) -> caller_flow.CallerFlow:
         self.connected_count += 1
-        configuration = _quic.client_configuration(
+        configuration = connections.client_configuration(
             self._server_name,
             self._authority_file,
         )
-        return await _caller_flow.connect(self._service, configuration, patience)
+        return await caller_flow.connect(self._service, configuration, patience)
 
     def _drop_flow(self) -> None:
         flow = self._flow
@@ -298,7 +298,7 @@
         if flow is None:
             return
         if flow.is_idle:
-            _caller_flow.close(flow)
+            caller_flow.close(flow)
         else:
             asyncio.get_running_loop().create_task(_close_when_idle(flow))
 
@@ -320,12 +320,12 @@
                 yield update
             flow.cancel(stream_id)
         finally:
-            _caller_flow.close(flow)
+            caller_flow.close(flow)
 
 
 async def _wait_whole(
-    flow: _caller_flow.CallerFlow,
-    answer: _caller_flow.Answer,
+    flow: caller_flow.CallerFlow,
+    answer: caller_flow.Answer,
     patience: float,
 ) -> None:
     """Wait for a whole answer; probe the path now and then while it is quiet.
@@ -345,16 +345,16 @@
             flow.probe(patience)
 
 
-async def _close_when_idle(flow: _caller_flow.CallerFlow) -> None:
+async def _close_when_idle(flow: caller_flow.CallerFlow) -> None:
     while not flow.is_idle and not flow.is_over:
         await asyncio.sleep(FEED_RETRY_SECONDS)
-    _caller_flow.close(flow)
+    caller_flow.close(flow)
 
 
 def _retry_after(outcome: Outcome) -> float:
     """Return the seconds that an answer asked to wait, 0 when it did not."""
-    milliseconds = outcome.headers.get(_headers.RETRY_AFTER_MS, '')
+    milliseconds = outcome.headers.get(http_headers.RETRY_AFTER_MS, '')
     if milliseconds.isdigit():
-        return int(milliseconds) / _headers.MS_PER_SECOND
+        return int(milliseconds) / http_headers.MS_PER_SECOND
     seconds = outcome.headers.get('retry-after', '')
     return float(seconds) if seconds.isdigit() else 0
--- a/src/egretjunction/cli.py
+++ b/src/egretjunction/cli.py
@@ -39,7 +39,7 @@
 @app.command()
 def entry(settings_path: SettingsPath) -> None:
     """Run an entry daemon."""
-    from egretjunction import entry as daemon
+    from egretjunction.quic import entry as daemon
 
     given = settings.load(settings_path, 'entry')
     logs.configure(given.name)
@@ -49,7 +49,7 @@
 @app.command()
 def agent(settings_path: SettingsPath) -> None:
     """Run the agent beside a backend server."""
-    from egretjunction import agent as daemon
+    from egretjunction.quic import agent as daemon
 
     given = settings.load(settings_path, 'agent')
     logs.configure(f'agent-{given.name}')
--- /dev/null
+++ b/src/egretjunction/quic/__init__.py
@@ -0,0 +1,1 @@
+"""The QUIC side: entries, agents and callers that end flows themselves."""
--- a/src/egretjunction/agent.py
+++ b/src/egretjunction/quic/agent.py
@@ -11,14 +11,8 @@
 from tornado import simple_httpclient
 
 from egretjunction import _admin
-from egretjunction import _arrivals
-from egretjunction import _flow_table
-from egretjunction import _flows
-from egretjunction import _quic
-from egretjunction import _requests
 from egretjunction import _udp
 from egretjunction import addresses
-from egretjunction import control
 from egretjunction import errors
 from egretjunction import lifecycles
 from egretjunction import logs
@@ -31,6 +25,12 @@
 from egretjunction.decisions import incarnations
 from egretjunction.decisions import membership
 from egretjunction.decisions import ownership
+from egretjunction.quic import arrivals
+from egretjunction.quic import connections
+from egretjunction.quic import control
+from egretjunction.quic import flow_table
+from egretjunction.quic import requests
+from egretjunction.quic import server_flow
 
 TICK_SECONDS = 0.25
 HEALTH_SECONDS = 0.5
@@ -68,11 +68,13 @@
         )
         self._expires_at = expires.timestamp()
         self._incarnation = incarnations.from_clock(time.time())
-        self._flows = _flow_table.FlowTable(
+        self._flows = flow_table.FlowTable(
             self._key,
             given.service,
             ownership.Owner(given.data, self._incarnation),
-            _quic.server_configuration(given.certificate_file, given.private_key_file),
+            connections.server_configuration(
+                given.certificate_file, given.private_key_file
+            ),
         )
         self._figures = metrics.Metrics('agent')
         self._lifecycle = lifecycles.Lifecycle('agent')
@@ -82,7 +84,7 @@
             given.slots,
             QUEUE_LIMIT_BEFORE_CONFIGURED,
         )
-        self._requests = _requests.Requests(
+        self._requests = requests.Requests(
             given.backend,
             self._dispatcher,
             self._health,
@@ -94,20 +96,20 @@
             self._figures,
             self._clock,
         )
-        self._arrivals = _arrivals.Arrivals(
+        self._arrivals = arrivals.Arrivals(
             given,
             self._key,
             self._flows,
             self._dispatcher,
             self._health,
             self._figures,
-            _arrivals.Outlook(
+            arrivals.Outlook(
                 lambda: self._control.service,
                 lambda: self._control.entries,
                 lambda: self._lifecycle.state == 'serving',
             ),
         )
-        self._arrivals.handlers = _flows.Handlers(
+        self._arrivals.handlers = server_flow.Handlers(
             self._arrivals.send,
             self._on_request,
             self._requests.cancel,
@@ -203,7 +205,7 @@
             'waiting': self._dispatcher.waiting,
         }
 
-    def _on_request(self, stream: _flows.Stream) -> None:
+    def _on_request(self, stream: server_flow.Stream) -> None:
         self._arrivals.release(stream.flow)
         self._requests.accept(stream, self._control.service)
 
--- a/src/egretjunction/_arrivals.py
+++ b/src/egretjunction/quic/arrivals.py
@@ -6,10 +6,6 @@
 
 from tornado import ioloop
 
-from egretjunction import _drops
-from egretjunction import _flow_table
-from egretjunction import _flows
-from egretjunction import _quic
 from egretjunction import addresses
 from egretjunction import errors
 from egretjunction import metrics
@@ -21,6 +17,10 @@
 from egretjunction.decisions import health
 from egretjunction.decisions import ownership
 from egretjunction.decisions import placement
+from egretjunction.quic import connections
+from egretjunction.quic import drops
+from egretjunction.quic import flow_table
+from egretjunction.quic import server_flow
 from egretjunction.wire import packets
 
 RESET_FILLER_BYTES = 21
@@ -65,7 +65,7 @@
         self,
         given: settings.Agent,
         key: bytes,
-        flows: _flow_table.FlowTable,
+        flows: flow_table.FlowTable,
         dispatcher: dispatch.Dispatcher,
         fitness: health.Health,
         figures: metrics.Metrics,
@@ -82,11 +82,11 @@
         self._clock = time.monotonic
         self._admission = admission.Admission(given.data)
         self._answers = answers.AnswerPaths()
-        self._drops = _drops.Drops(figures)
-        self.handlers: _flows.Handlers | None = None
+        self._drops = drops.Drops(figures)
+        self.handlers: server_flow.Handlers | None = None
         self.transmit: Transmit | None = None
 
-    def release(self, flow: _flows.Flow) -> None:
+    def release(self, flow: server_flow.Flow) -> None:
         """Note that the first request of a flow has come."""
         self._admission.release(flow)
 
@@ -136,7 +136,7 @@
 
     def _feed(
         self,
-        flow: _flows.Flow,
+        flow: server_flow.Flow,
         envelope: packets.Envelope,
         option: packets.Placement,
         now: float,
@@ -164,7 +164,7 @@
             self._figures.count('packets_dropped_ended_flow')
             return
         token = ownership.reset_token(self._key, fields.connection_id)
-        packet = _quic.stateless_reset(token, os.urandom(RESET_FILLER_BYTES))
+        packet = connections.stateless_reset(token, os.urandom(RESET_FILLER_BYTES))
         self._figures.count('flows_reset')
         self._answer(envelope, packet, option.entry)
 
@@ -254,7 +254,7 @@
     def _refuse(self, envelope: packets.Envelope, option: packets.Placement) -> None:
         self._figures.count('flows_refused')
         try:
-            packet = _quic.refusal(envelope.payload)
+            packet = connections.refusal(envelope.payload)
         except ValueError as error:
             self._drops.note('malformed', envelope.source, str(error))
             return
@@ -268,7 +268,7 @@
         now: float,
     ) -> None:
         try:
-            negotiation = _quic.version_negotiation(envelope.payload)
+            negotiation = connections.version_negotiation(envelope.payload)
         except ValueError as error:
             self._drops.note('malformed', envelope.source, str(error))
             return
@@ -287,18 +287,20 @@
         flow = self._flows.open(
             fields.connection_id,
             envelope.destination,
-            typing.cast('_flows.Handlers', self.handlers),
+            typing.cast('server_flow.Handlers', self.handlers),
         )
         self._admission.reserve(flow, now)
         self._figures.count('flows_taken')
         self._feed(flow, envelope, option, now)
 
-    def forget(self, flow: _flows.Flow) -> None:
+    def forget(self, flow: server_flow.Flow) -> None:
         """Drop a flow whose connection has ended."""
         self._admission.release(flow)
         self._flows.remove(flow)
 
-    def send(self, flow: _flows.Flow, payload: bytes, caller: tuple[str, int]) -> None:
+    def send(
+        self, flow: server_flow.Flow, payload: bytes, caller: tuple[str, int]
+    ) -> None:
         """Send a datagram of a flow to its caller through live entries."""
         entries = self._answers.choose(
             flow.entry,
--- a/src/egretjunction/_caller_flow.py
+++ b/src/egretjunction/quic/caller_flow.py
@@ -10,10 +10,10 @@
 from aioquic.quic import connection as quic
 from aioquic.quic import events as quic_events
 
-from egretjunction import _headers
-from egretjunction import _quic
 from egretjunction import addresses
 from egretjunction import verdicts
+from egretjunction.quic import connections
+from egretjunction.quic import http_headers
 
 SEND_HIGH_WATER_BYTES = 262_144
 CHUNK_BYTES = 65_536
@@ -74,7 +74,7 @@
             self._error = FlowError(message, verdict or self.verdict)
         self._changed.set()
 
-    def add_headers(self, pairs: _headers.Pairs) -> None:
+    def add_headers(self, pairs: http_headers.Pairs) -> None:
         """Take in status and headers."""
         fields = {
             name.decode('latin-1'): text.decode('latin-1') for name, text in pairs
@@ -112,7 +112,7 @@
 
 def _verdict_in(headers: dict[str, str]) -> verdicts.Verdict:
     try:
-        return verdicts.Verdict(headers.get(_headers.VERDICT, ''))
+        return verdicts.Verdict(headers.get(http_headers.VERDICT, ''))
     except ValueError:
         return verdicts.Verdict.MAY_HAVE_RUN
 
@@ -122,7 +122,7 @@
 
     def __init__(self, connection: quic.QuicConnection) -> None:
         super().__init__(connection)
-        self.http = _quic.Http3Connection(connection, self._on_goaway)
+        self.http = connections.Http3Connection(connection, self._on_goaway)
         self.is_leaving = False
         self.is_over = False
         self._answer_by_stream: dict[int, Answer] = {}
@@ -145,7 +145,7 @@
         """Tell whether no answer is awaited."""
         return not self._answer_by_stream
 
-    def start(self, pairs: _headers.Pairs, *, has_body: bool) -> tuple[int, Answer]:
+    def start(self, pairs: http_headers.Pairs, *, has_body: bool) -> tuple[int, Answer]:
         """Send the header fields of a request.
 
         :param pairs: header fields.
@@ -171,7 +171,7 @@
         :param body: the whole body.
         """
         for start in range(0, len(body), CHUNK_BYTES):
-            if answer.is_over or not _quic.can_send(self._quic, stream_id):
+            if answer.is_over or not connections.can_send(self._quic, stream_id):
                 return
             part = body[start : start + CHUNK_BYTES]
             self.http.send_data(stream_id, part, start + CHUNK_BYTES >= len(body))
@@ -180,7 +180,7 @@
 
     async def _drain(self, stream_id: int, answer: Answer) -> None:
         while (
-            _quic.unsent(self._quic, stream_id) > SEND_HIGH_WATER_BYTES
+            connections.unsent(self._quic, stream_id) > SEND_HIGH_WATER_BYTES
             and not answer.is_over
         ):
             self._moved.clear()
@@ -208,7 +208,7 @@
         answer = self._answer_by_stream.pop(stream_id, None)
         if answer is None or self.is_over:
             return
-        if _quic.can_send(self._quic, stream_id):
+        if connections.can_send(self._quic, stream_id):
             self._quic.reset_stream(stream_id, h3.ErrorCode.H3_REQUEST_CANCELLED)
         if not answer.is_complete and stream_id in self._quic._streams:
             self._quic.stop_stream(stream_id, h3.ErrorCode.H3_REQUEST_CANCELLED)
@@ -218,7 +218,7 @@
         """Take in one datagram, which may say that the server lost this flow."""
         self._heard_at = self._loop.time()
         super().datagram_received(payload, address)
-        if _quic.is_stateless_reset(self._quic, typing.cast('bytes', payload)):
+        if connections.is_stateless_reset(self._quic, typing.cast('bytes', payload)):
             self._lose('server has lost the connection')
         self._moved.set()
 
@@ -291,7 +291,7 @@
     :raises FlowError: with NOT_RUN, when the handshake does not finish in time.
     """
     loop = asyncio.get_running_loop()
-    connection = _quic.client_connection(configuration)
+    connection = connections.client_connection(configuration)
     _, flow = await loop.create_datagram_endpoint(
         lambda: CallerFlow(connection),
         local_addr=(ANY_ADDRESS, 0),
--- a/src/egretjunction/_quic.py
+++ b/src/egretjunction/quic/connections.py
@@ -16,7 +16,7 @@
 from aioquic.quic import packet
 from aioquic.quic import packet_builder
 
-from egretjunction import _congestion
+from egretjunction.quic import congestion
 
 ALPN = ('h3',)
 IDLE_SECONDS = 120.0
@@ -76,7 +76,7 @@
             configuration=configuration,
             original_destination_connection_id=original_destination_connection_id,
         )
-        _congestion.adapt(self)
+        congestion.adapt(self)
         self._mint = mint
         self._reset_token = reset_token
         first = self._host_cids[0]
@@ -258,7 +258,7 @@
 ) -> quic.QuicConnection:
     """Return a caller's connection that has sent nothing yet."""
     connection = quic.QuicConnection(configuration=configuration)
-    _congestion.adapt(connection)
+    congestion.adapt(connection)
     return connection
 
 
--- a/src/egretjunction/entry.py
+++ b/src/egretjunction/quic/entry.py
@@ -8,9 +8,7 @@
 from tornado import ioloop
 
 from egretjunction import _admin
-from egretjunction import _drops
 from egretjunction import _udp
-from egretjunction import control
 from egretjunction import errors
 from egretjunction import lifecycles
 from egretjunction import logs
@@ -23,6 +21,8 @@
 from egretjunction.decisions import incarnations
 from egretjunction.decisions import membership
 from egretjunction.decisions import routing
+from egretjunction.quic import control
+from egretjunction.quic import drops
 from egretjunction.wire import packets
 
 LEASE_SECONDS = 60.0
@@ -57,7 +57,7 @@
             self._clock,
         )
         self._platform = platform.Platform(given.platform)
-        self._drops = _drops.Drops(self._figures)
+        self._drops = drops.Drops(self._figures)
         self._stopped = asyncio.Event()
         self._head_revision = -1
 
--- a/src/egretjunction/feeds.py
+++ b/src/egretjunction/quic/feeds.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from egretjunction import _caller_flow
+from egretjunction.quic import caller_flow
 
 PROBE_SECONDS = 5.0
 SILENT_SECONDS = 12.0
@@ -25,14 +25,14 @@
 
 
 async def updates(
-    flow: _caller_flow.CallerFlow,
-    answer: _caller_flow.Answer,
+    flow: caller_flow.CallerFlow,
+    answer: caller_flow.Answer,
 ) -> typing.AsyncIterator[Update]:
     """Yield the updates of one connection until its server wants the caller to move.
 
     :param flow: the connection.
     :param answer: the answer to the feed's request.
-    :raises _caller_flow.FlowError: when the feed is refused, broken or silent.
+    :raises caller_flow.FlowError: when the feed is refused, broken or silent.
     """
     while not answer.is_complete and not flow.is_leaving:
         for update in _take_events(answer):
@@ -41,14 +41,14 @@
         if flow.silent_seconds > PROBE_SECONDS:
             flow.probe(SILENT_SECONDS)
         if answer.status >= HTTP_SERVER_ERROR:
-            raise _caller_flow.FlowError('feed was refused', answer.verdict)
+            raise caller_flow.FlowError('feed was refused', answer.verdict)
     for update in _take_events(answer):
         yield update
 
 
 async def _wait_for_either(
-    answer: _caller_flow.Answer,
-    flow: _caller_flow.CallerFlow,
+    answer: caller_flow.Answer,
+    flow: caller_flow.CallerFlow,
 ) -> None:
     """Wait a while for more of the answer or for the server's wish to leave."""
     waits = [
@@ -68,7 +68,7 @@
         waits[0].result()
 
 
-def _take_events(answer: _caller_flow.Answer) -> list[Update]:
+def _take_events(answer: caller_flow.Answer) -> list[Update]:
     """Remove the whole events from the front of a body."""
     taken = []
     while True:
--- a/src/egretjunction/_flow_table.py
+++ b/src/egretjunction/quic/flow_table.py
@@ -4,10 +4,10 @@
 
 from aioquic.quic import configuration as quic_configuration
 
-from egretjunction import _flows
-from egretjunction import _quic
 from egretjunction import addresses
 from egretjunction.decisions import ownership
+from egretjunction.quic import connections
+from egretjunction.quic import server_flow
 
 
 class FlowTable:
@@ -39,18 +39,18 @@
         self._service = service
         self._owner = owner
         self._configuration = configuration
-        self._flow_by_connection_id: dict[bytes, _flows.Flow] = {}
-        self._ids_by_flow: dict[_flows.Flow, set[bytes]] = {}
+        self._flow_by_connection_id: dict[bytes, server_flow.Flow] = {}
+        self._ids_by_flow: dict[server_flow.Flow, set[bytes]] = {}
 
     def __len__(self) -> int:
         """Return the number of flows."""
         return len(self._ids_by_flow)
 
-    def all(self) -> list[_flows.Flow]:
+    def all(self) -> list[server_flow.Flow]:
         """Return the flows."""
         return list(self._ids_by_flow)
 
-    def find(self, connection_id: bytes) -> _flows.Flow | None:
+    def find(self, connection_id: bytes) -> server_flow.Flow | None:
         """Return the flow that a connection ID belongs to, or None."""
         return self._flow_by_connection_id.get(connection_id)
 
@@ -63,28 +63,28 @@
         self,
         connection_id: bytes,
         service_address: addresses.Address,
-        handlers: _flows.Handlers,
-    ) -> _flows.Flow:
+        handlers: server_flow.Handlers,
+    ) -> server_flow.Flow:
         """Create a flow for a caller's first packet.
 
         :param connection_id: the ID that the caller chose.
         :param service_address: the address that the caller used.
         :param handlers: what the flow calls.
         """
-        connection = _quic.ServerConnection(
+        connection = connections.ServerConnection(
             mint=self._mint,
             reset_token=self._reset_token,
             configuration=self._configuration,
             original_destination_connection_id=connection_id,
         )
-        flow = _flows.Flow(connection, service_address, handlers)
+        flow = server_flow.Flow(connection, service_address, handlers)
         self._ids_by_flow[flow] = set()
         self._register(flow, connection_id)
         self._register(flow, connection.host_cid)
         flow.watch_ids(self._register, self._unregister)
         return flow
 
-    def remove(self, flow: _flows.Flow) -> None:
+    def remove(self, flow: server_flow.Flow) -> None:
         """Forget a flow whose connection has ended."""
         for connection_id in self._ids_by_flow.pop(flow, ()):
             self._flow_by_connection_id.pop(connection_id, None)
@@ -99,10 +99,10 @@
     def _reset_token(self, connection_id: bytes) -> bytes:
         return ownership.reset_token(self._key, connection_id)
 
-    def _register(self, flow: _flows.Flow, connection_id: bytes) -> None:
+    def _register(self, flow: server_flow.Flow, connection_id: bytes) -> None:
         self._flow_by_connection_id[connection_id] = flow
         self._ids_by_flow[flow].add(connection_id)
 
-    def _unregister(self, flow: _flows.Flow, connection_id: bytes) -> None:
+    def _unregister(self, flow: server_flow.Flow, connection_id: bytes) -> None:
         self._flow_by_connection_id.pop(connection_id, None)
         self._ids_by_flow.get(flow, set()).discard(connection_id)
--- a/src/egretjunction/_requests.py
+++ b/src/egretjunction/quic/requests.py
@@ -7,9 +7,6 @@
 from aioquic.h3 import connection as h3
 from tornado import httputil
 
-from egretjunction import _backend
-from egretjunction import _flows
-from egretjunction import _headers
 from egretjunction import addresses
 from egretjunction import logs
 from egretjunction import metrics
@@ -18,6 +15,9 @@
 from egretjunction.decisions import document
 from egretjunction.decisions import health
 from egretjunction.decisions import policy
+from egretjunction.quic import backend_client
+from egretjunction.quic import http_headers
+from egretjunction.quic import server_flow
 
 HTTP_BAD_REQUEST = 400
 HTTP_BAD_GATEWAY = 502
@@ -32,9 +32,9 @@
 
     def __init__(
         self,
-        stream: _flows.Stream,
-        head: _backend.Head,
-        exchange: _backend.Exchange,
+        stream: server_flow.Stream,
+        head: backend_client.Head,
+        exchange: backend_client.Exchange,
         arrived: float,
         deadline: float | None,
     ) -> None:
@@ -67,12 +67,12 @@
         self._health = fitness
         self._figures = figures
         self._clock = time.monotonic
-        self._request_by_stream: dict[_flows.Stream, _Request] = {}
+        self._request_by_stream: dict[server_flow.Stream, _Request] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def accept(
         self,
-        stream: _flows.Stream,
+        stream: server_flow.Stream,
         service: document.Service | None,
     ) -> None:
         """Take a new request: run it, queue it or shed it."""
@@ -80,7 +80,7 @@
             self._answer_soon(stream, HTTP_UNAVAILABLE, 'service is not configured')
             return
         try:
-            pseudo, headers = _headers.to_http1(stream.pairs)
+            pseudo, headers = http_headers.to_http1(stream.pairs)
         except httputil.HTTPInputError as error:
             self._answer_soon(stream, HTTP_BAD_REQUEST, str(error))
             return
@@ -95,11 +95,11 @@
         deadline = None
         if treatment is not policy.Treatment.FEED:
             default = service.default_deadline_seconds
-            deadline = now + _headers.seconds_to_deadline(headers, default)
+            deadline = now + http_headers.seconds_to_deadline(headers, default)
         request = _Request(
             stream,
-            _backend.Head(pseudo[':method'], pseudo.get(':path', '/'), headers),
-            _backend.Exchange(self._backend),
+            backend_client.Head(pseudo[':method'], pseudo.get(':path', '/'), headers),
+            backend_client.Exchange(self._backend),
             now,
             deadline,
         )
@@ -110,7 +110,7 @@
         offered = dispatch.Request(stream, treatment.size, deadline)
         self._apply(self._dispatcher.offer(offered, now))
 
-    def cancel(self, stream: _flows.Stream) -> None:
+    def cancel(self, stream: server_flow.Stream) -> None:
         """Stop a request whose caller is gone."""
         self._figures.count('requests_cancelled')
         request = self._request_by_stream.pop(stream, None)
@@ -132,7 +132,7 @@
     def _apply(self, found: list[dispatch.Effect]) -> None:
         for effect in found:
             request = self._request_by_stream.get(
-                typing.cast('_flows.Stream', effect.key)
+                typing.cast('server_flow.Stream', effect.key)
             )
             if request is None:
                 continue
@@ -153,13 +153,13 @@
 
     def _answer_soon(
         self,
-        stream: _flows.Stream,
+        stream: server_flow.Stream,
         status: int,
         reason: str,
         retry_after_seconds: float = 0,
     ) -> None:
         """Tell the caller that its request was not run."""
-        pairs = _headers.failure(
+        pairs = http_headers.failure(
             status,
             verdicts.Verdict.NOT_RUN,
             reason,
@@ -169,8 +169,8 @@
 
     async def _finish_with(
         self,
-        stream: _flows.Stream,
-        pairs: _headers.Pairs,
+        stream: server_flow.Stream,
+        pairs: http_headers.Pairs,
     ) -> None:
         await stream.send_head(pairs, is_last=True)
         stream.flow.finish(stream)
@@ -182,12 +182,12 @@
         left = None if request.deadline is None else request.deadline - started
         try:
             await asyncio.wait_for(self._exchange(request), left)
-        except _flows.RequestEndedError:
+        except server_flow.RequestEndedError:
             request.exchange.cancel()
         except TimeoutError:
             request.exchange.cancel()
             await self._fail(request, HTTP_GATEWAY_TIMEOUT, 'deadline has passed')
-        except _backend.BackendError as error:
+        except backend_client.BackendError as error:
             await self._on_backend_error(request, error)
         finally:
             self._close(request, started)
@@ -200,14 +200,14 @@
             headers: httputil.HTTPHeaders,
         ) -> None:
             request.is_answering = True
-            if _headers.VERDICT not in headers:
-                headers[_headers.VERDICT] = verdicts.Verdict.RAN.value
-            await stream.send_head(_headers.to_http3(status, headers))
+            if http_headers.VERDICT not in headers:
+                headers[http_headers.VERDICT] = verdicts.Verdict.RAN.value
+            await stream.send_head(http_headers.to_http3(status, headers))
 
         async def on_data(part: bytes) -> None:
             try:
                 await stream.send_data(part)
-            except _flows.RequestEndedError:
+            except server_flow.RequestEndedError:
                 stream.abandon()
                 request.exchange.cancel()
 
@@ -219,7 +219,7 @@
     async def _on_backend_error(
         self,
         request: _Request,
-        error: _backend.BackendError,
+        error: backend_client.BackendError,
     ) -> None:
         if request.stream.is_cancelled:
             return
@@ -245,7 +245,7 @@
             request.stream.reset(h3.ErrorCode.H3_INTERNAL_ERROR)
             return
         await request.stream.send_head(
-            _headers.failure(status, verdict, reason),
+            http_headers.failure(status, verdict, reason),
             is_last=True,
         )
 
--- a/src/egretjunction/_flows.py
+++ b/src/egretjunction/quic/server_flow.py
@@ -10,9 +10,9 @@
 from aioquic.h3 import events as h3_events
 from aioquic.quic import events as quic_events
 
-from egretjunction import _headers
-from egretjunction import _quic
 from egretjunction import addresses
+from egretjunction.quic import connections
+from egretjunction.quic import http_headers
 
 SEND_HIGH_WATER_BYTES = 262_144
 
@@ -39,7 +39,7 @@
         'stream_id',
     )
 
-    def __init__(self, flow: 'Flow', stream_id: int, pairs: _headers.Pairs) -> None:
+    def __init__(self, flow: 'Flow', stream_id: int, pairs: http_headers.Pairs) -> None:
         self._flow = flow
         self.stream_id = stream_id
         self.pairs = pairs
@@ -93,9 +93,9 @@
         self._flow.transmit()
         return part
 
-    async def send_head(self, pairs: _headers.Pairs, is_last: bool = False) -> None:
+    async def send_head(self, pairs: http_headers.Pairs, is_last: bool = False) -> None:
         """Send the header fields of the answer."""
-        if _quic.can_send(self._flow.connection, self.stream_id):
+        if connections.can_send(self._flow.connection, self.stream_id):
             self._flow.http.send_headers(self.stream_id, pairs, is_last)
             self._flow.transmit()
 
@@ -105,18 +105,20 @@
         :raises RequestEndedError: when the caller is gone.
         """
         flow = self._flow
-        if not _quic.can_send(flow.connection, self.stream_id):
+        if not connections.can_send(flow.connection, self.stream_id):
             raise RequestEndedError
         flow.http.send_data(self.stream_id, part, is_last)
         flow.transmit()
-        while _quic.unsent(flow.connection, self.stream_id) > SEND_HIGH_WATER_BYTES:
+        while (
+            connections.unsent(flow.connection, self.stream_id) > SEND_HIGH_WATER_BYTES
+        ):
             await flow.progress()
             if self.is_cancelled:
                 raise RequestEndedError
 
     def reset(self, error_code: int) -> None:
         """End the stream in both directions with an error code."""
-        if _quic.can_send(self._flow.connection, self.stream_id):
+        if connections.can_send(self._flow.connection, self.stream_id):
             self._flow.connection.reset_stream(self.stream_id, error_code)
             self._flow.transmit()
 
@@ -169,14 +171,14 @@
 
     def __init__(
         self,
-        connection: _quic.ServerConnection,
+        connection: connections.ServerConnection,
         service_address: addresses.Address,
         handlers: Handlers,
     ) -> None:
         super().__init__(connection)
         self.connection = connection
         self.service_address = service_address
-        self.http = _quic.Http3Connection(connection)
+        self.http = connections.Http3Connection(connection)
         self.stream_by_id: dict[int, Stream] = {}
         self.entry: tuple[str, int] | None = None
         self.heard_at = float(0)
--- a/src/egretjunction/standins/backend.py
+++ b/src/egretjunction/standins/backend.py
@@ -11,9 +11,9 @@
 from tornado import iostream
 from tornado import web
 
-from egretjunction import _headers
 from egretjunction import settings
 from egretjunction import verdicts
+from egretjunction.quic import http_headers
 
 COLD_FACTOR = 4
 DEFAULT_WORK_MS = 50
@@ -121,7 +121,7 @@
         """Refuse the request without running it."""
         self.set_status(HTTP_UNAVAILABLE)
         self.set_header('Retry-After', '1')
-        self.set_header(_headers.VERDICT, verdicts.Verdict.NOT_RUN.value)
+        self.set_header(http_headers.VERDICT, verdicts.Verdict.NOT_RUN.value)
         self.finish()
 
 
@@ -170,7 +170,7 @@
         self.started = time.monotonic()
         self.backend.running += 1
         self.backend.most_running = max(self.backend.most_running, self.backend.running)
-        request_id = self.request.headers.get(_headers.REQUEST_ID, '')
+        request_id = self.request.headers.get(http_headers.REQUEST_ID, '')
         self.backend.runs_by_request[request_id] += 1
 
     def data_received(self, chunk: bytes) -> None:
@@ -211,7 +211,7 @@
             self._free()
             self.detach().close()
             raise web.Finish
-        request_id = self.request.headers.get(_headers.REQUEST_ID, '')
+        request_id = self.request.headers.get(http_headers.REQUEST_ID, '')
         answer = {
             'server': self.backend.given.name,
             'request_id': request_id,
@@ -219,7 +219,7 @@
             'sha256': self.hash.hexdigest(),
             'path': self.request.path,
         }
-        self.set_header(_headers.REQUEST_ID, request_id)
+        self.set_header(http_headers.REQUEST_ID, request_id)
         self.finish(msgspec.json.encode(answer))
 
 
--- a/src/egretjunction/standins/customers.py
+++ b/src/egretjunction/standins/customers.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from egretjunction import _headers
 from egretjunction import caller
 from egretjunction import verdicts
+from egretjunction.quic import http_headers
 
 REQUEST_DEADLINE_SECONDS = 15.0
 MAX_REQUESTS_PER_FLOW = 3
@@ -158,7 +158,7 @@
         outcome = await customer.request(
             kind.method,
             f'{kind.path}?work_ms={kind.work_ms}',
-            headers={_headers.REQUEST_ID: request_id},
+            headers={http_headers.REQUEST_ID: request_id},
             body=body,
             deadline_seconds=REQUEST_DEADLINE_SECONDS,
         )
--- a/tests/test_congestion.py
+++ b/tests/quic/test_congestion.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests import builders
-from tests import test_quic
+from tests.quic import test_connections
 
 UPLOAD_BYTES = 1_500_000
 DEADLINE_SECONDS = 2.0  # 6 MB have 8 s in bench.faults
@@ -29,7 +29,7 @@
     def run(self, is_done):
         """Carry datagrams until done; return the seconds that took."""
         while not is_done() and self.now < END_SECONDS:
-            self._send(self._pair.client, self._pair.server, test_quic.CALLER)
+            self._send(self._pair.client, self._pair.server, test_connections.CALLER)
             self._send(self._pair.server, self._pair.client, builders.SERVICE_ADDRESS)
             timers = [self._pair.client.get_timer(), self._pair.server.get_timer()]
             due = [timer for timer in timers if timer is not None]
@@ -68,7 +68,7 @@
 @pytest.mark.parametrize('seed', [1, 2, 3])
 @pytest.mark.parametrize('condition', [_losing, _reordering])
 def test_upload_is_done_in_time_over_a_bad_link(tmp_path, condition, seed):
-    pair = test_quic.Pair(tmp_path, now=0.0)
+    pair = test_connections.Pair(tmp_path, now=0.0)
     link = Link(pair, condition(random.Random(seed)))
     stream = pair.client.get_next_available_stream_id()
     pair.client.send_stream_data(stream, bytes(UPLOAD_BYTES), end_stream=True)
--- a/tests/test_quic.py
+++ b/tests/quic/test_connections.py
@@ -6,8 +6,8 @@
 from aioquic.quic import events as quic_events
 from aioquic.quic import packet
 
-from egretjunction import _quic
 from egretjunction.decisions import ownership
+from egretjunction.quic import connections
 from egretjunction.standins import certificates
 from tests import builders
 
@@ -21,15 +21,17 @@
     def __init__(self, folder, server_name='bookings', days=30, now=None):
         certificates.write(folder, ['bookings'], days)
         self.minted = []
-        self.client = _quic.client_connection(
-            _quic.client_configuration(server_name, str(folder / 'authority.pem')),
+        self.client = connections.client_connection(
+            connections.client_configuration(
+                server_name, str(folder / 'authority.pem')
+            ),
         )
         now = time.time() if now is None else now
         self.client.connect(builders.SERVICE_ADDRESS, now=now)
-        self.server = _quic.ServerConnection(
+        self.server = connections.ServerConnection(
             mint=self._mint,
             reset_token=lambda each: ownership.reset_token(builders.KEY, each),
-            configuration=_quic.server_configuration(
+            configuration=connections.server_configuration(
                 str(folder / 'bookings.pem'),
                 str(folder / 'bookings.key'),
             ),
@@ -90,9 +92,9 @@
     pair.exchange()
     current = pair.client._peer_cid.cid
     token = ownership.reset_token(builders.KEY, current)
-    reset = _quic.stateless_reset(token, bytes(range(21)))
-    assert _quic.is_stateless_reset(pair.client, reset)
-    assert not _quic.is_stateless_reset(pair.client, bytes(len(reset)))
+    reset = connections.stateless_reset(token, bytes(range(21)))
+    assert connections.is_stateless_reset(pair.client, reset)
+    assert not connections.is_stateless_reset(pair.client, bytes(len(reset)))
 
 
 @pytest.mark.parametrize(('name', 'days'), [('surveys', 30), ('bookings', -1)])
@@ -122,7 +124,7 @@
             if isinstance(event, quic_events.StreamDataReceived):
                 held += len(event.data)
                 pair.server.hold(len(event.data))
-    assert 0 < held <= _quic.CONNECTION_WINDOW_BYTES
+    assert 0 < held <= connections.CONNECTION_WINDOW_BYTES
     before = limit.value
     pair.server.consume(held)
     assert limit.value > before
@@ -131,10 +133,10 @@
 def test_goaway_reaches_the_other_end(tmp_path):
     pair = Pair(tmp_path)
     told = []
-    client = _quic.Http3Connection(pair.client, told.append)
+    client = connections.Http3Connection(pair.client, told.append)
     for event in pair.exchange():
         client.handle_event(event)
-    server = _quic.Http3Connection(pair.server)
+    server = connections.Http3Connection(pair.server)
     server.send_goaway(8)
     for event in pair.exchange(3):
         client.handle_event(event)
@@ -146,7 +148,7 @@
     stream = (
         b'\x00' + b'\x04\x03abc' + b'\x07\x01\x08' + b'\x21\x00' + b'\x07\x02\x40\x10'
     )
-    reader = _quic.GoawayReader()
+    reader = connections.GoawayReader()
     found = []
     for start in range(0, len(stream), size):
         found.extend(reader.feed(3, stream[start : start + size]))
@@ -154,7 +156,7 @@
 
 
 def test_goaway_on_another_stream_means_nothing():
-    reader = _quic.GoawayReader()
+    reader = connections.GoawayReader()
     assert reader.feed(7, b'\x02\x07\x01\x08') == []
     assert reader.feed(0, b'\x00\x07\x01\x08') == []
 
@@ -162,7 +164,7 @@
 def test_refusal_is_understood_as_connection_refused(tmp_path):
     pair = Pair(tmp_path)
     ((first, _),) = pair.client.datagrams_to_send(now=time.time())
-    refused = _quic.refusal(first)
+    refused = connections.refusal(first)
     pair.client.receive_datagram(refused, builders.SERVICE_ADDRESS, now=time.time())
     code = pair.client._close_event.error_code
     assert code == packet.QuicErrorCode.CONNECTION_REFUSED
@@ -171,9 +173,9 @@
 def test_unknown_version_gets_a_list_of_the_known_ones(tmp_path):
     pair = Pair(tmp_path)
     ((first, _),) = pair.client.datagrams_to_send(now=time.time())
-    assert _quic.version_negotiation(first) is None
+    assert connections.version_negotiation(first) is None
     strange = first[:1] + b'\x0a\x1a\x2a\x3a' + first[5:]
-    answer = _quic.version_negotiation(strange)
+    answer = connections.version_negotiation(strange)
     assert answer is not None
     assert answer[1:5] == bytes(4)
 
@@ -181,6 +183,6 @@
 @pytest.mark.parametrize('payload', [b'', b'\xc0', b'\xc0\x00\x00\x00\x01\x30'])
 def test_garbage_is_refused_with_a_value_error(payload):
     with pytest.raises(ValueError):
-        _quic.refusal(payload)
+        connections.refusal(payload)
     with pytest.raises(ValueError):
-        _quic.version_negotiation(payload)
+        connections.version_negotiation(payload)
--- a/tests/test_control.py
+++ b/tests/quic/test_control.py
@@ -3,9 +3,9 @@
 import asyncio
 import time
 
-from egretjunction import control
 from egretjunction import metrics
 from egretjunction.decisions import effects
+from egretjunction.quic import control
 from egretjunction.standins import cluster
 from egretjunction.wire import messages
 from tests import builders
--- a/tests/test_feeds.py
+++ b/tests/quic/test_feeds.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from egretjunction import _caller_flow
-from egretjunction import feeds
+from egretjunction.quic import caller_flow
+from egretjunction.quic import feeds
 
 STREAM = b'id: 1\ndata: one\n\n: remark\n\nid: x\ndata: odd\n\nid: 2\ndata: a: b\n\n'
 
 
 @pytest.mark.parametrize('size', [1, 3, 7, 200])
 def test_updates_are_found_however_the_stream_is_cut(size):
-    answer = _caller_flow.Answer()
+    answer = caller_flow.Answer()
     found = []
     for start in range(0, len(STREAM), size):
         answer.add_body(STREAM[start : start + size])
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -14,9 +14,9 @@
 from aioquic.h3 import events as h3_events
 from aioquic.quic import configuration as quic_configuration
 
-from egretjunction import _caller_flow
-from egretjunction import _quic
 from egretjunction import verdicts
+from egretjunction.quic import caller_flow
+from egretjunction.quic import connections
 from egretjunction.standins import certificates
 from egretjunction.wire import packets
 from tests import systems
@@ -290,10 +290,10 @@
         authority, name = tmp_path / 'authority.pem', 'bookings'
 
     async def run():
-        configuration = _quic.client_configuration(name, str(authority))
+        configuration = connections.client_configuration(name, str(authority))
         address = system.address_by_service['bookings']
-        with pytest.raises(_caller_flow.FlowError) as raised:
-            await _caller_flow.connect(address, configuration, 3)
+        with pytest.raises(caller_flow.FlowError) as raised:
+            await caller_flow.connect(address, configuration, 3)
         return raised.value.verdict
 
     assert asyncio.run(run()) is verdicts.Verdict.NOT_RUN
