--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,6 +19,8 @@
 
 from bench import fitting
 from egretjunction import addresses
+from egretjunction import document_changes
+from egretjunction import member_records
 from egretjunction import metrics
 from egretjunction.decisions import agent_control
 from egretjunction.decisions import configuration
@@ -54,9 +56,11 @@
     return addresses.Address(f'10.0.{high // 250}.{high % 250}', 1024 + low)
 
 
-def _member(number: int, kind: membership.Kind, service: str) -> membership.Member:
-    prefix = 'entry' if kind is membership.Kind.ENTRY else 'backend'
-    return membership.Member(
+def _member(
+    number: int, kind: member_records.Kind, service: str
+) -> member_records.Member:
+    prefix = 'entry' if kind is member_records.Kind.ENTRY else 'backend'
+    return member_records.Member(
         name=f'{prefix}-{number:05d}.domain-{number % DOMAINS}',
         kind=kind,
         service=service,
@@ -65,19 +69,19 @@
         control=_address(number + 100_000),
         incarnation=15_000_000_000 + number,
         sequence=2,
-        state=membership.State.SERVING,
+        state=member_records.State.SERVING,
     )
 
 
 def _control_with(members: int) -> entry_control.EntryControl:
     """Return an entry's control part that knows so many agents, and entries."""
-    me = _member(0, membership.Kind.ENTRY, '')
+    me = _member(0, member_records.Kind.ENTRY, '')
     control = entry_control.EntryControl(me, [])
     for number in range(1, max(8, int(members * ENTRIES_PER_MEMBER))):
-        control.view.merge(_member(number, membership.Kind.ENTRY, ''), 0)
+        control.view.merge(_member(number, member_records.Kind.ENTRY, ''), 0)
     for number in range(members):
         service = f'service-{number % SERVICES}'
-        agent = _member(number, membership.Kind.AGENT, service)
+        agent = _member(number, member_records.Kind.AGENT, service)
         control.view.merge(agent, 0)
     return control
 
@@ -151,7 +155,7 @@
 
 
 def _agent_name(number: int) -> str:
-    return _member(number, membership.Kind.AGENT, '').name
+    return _member(number, member_records.Kind.AGENT, '').name
 
 
 def _document_text(services: int) -> str:
@@ -216,8 +220,8 @@
 def _change(
     generation: int,
     sections: typing.Mapping[str, str | None],
-) -> configuration.Change:
-    return configuration.Change(
+) -> document_changes.Change:
+    return document_changes.Change(
         generation=generation,
         change_id='0' * 32,
         who='operator',
@@ -236,7 +240,7 @@
         text = _document_text(1)
         control.adopt_snapshot(_change(1, document.split(text)), text, 0)
         for number in range(servers):
-            agent = _member(number, membership.Kind.AGENT, 'service-0')
+            agent = _member(number, member_records.Kind.AGENT, 'service-0')
             control.view.merge(agent, 0)
         router = routing.Router(KEY, control.view, control.in_force, control.domains)
         destination = _address(0)
@@ -355,8 +359,8 @@
 
 def measure_agent_control() -> dict[str, fitting.Line]:
     """Measure what an agent spends on one announcement and its answers."""
-    me = _member(1, membership.Kind.AGENT, 'service-0')
-    home = _member(1, membership.Kind.ENTRY, '')
+    me = _member(1, member_records.Kind.AGENT, 'service-0')
+    home = _member(1, member_records.Kind.ENTRY, '')
     control = agent_control.AgentControl(me, [home.control])
     record = messages.to_record(home)
     counts = (1, 2, 4, 6)
@@ -401,7 +405,7 @@
     """Measure the bytes of digests and repairs."""
     counts = (1, 4, 8, 12)
     digests = []
-    record = messages.to_record(_member(1, membership.Kind.ENTRY, ''))
+    record = messages.to_record(_member(1, member_records.Kind.ENTRY, ''))
     for domains in counts:
         ages = {f'domain-{number}': 3 for number in range(domains)}
         digest = messages.Digest(record, 2**63, 14_200, 100_000, ages)
--- a/bench/sockets.py
+++ b/bench/sockets.py
@@ -14,9 +14,9 @@
 import rich.table
 
 from egretjunction import addresses
+from egretjunction import document_changes
 from egretjunction import logs
 from egretjunction import settings
-from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import ownership
 from egretjunction.quic import entry
@@ -31,12 +31,12 @@
 PAYLOAD_BYTES = (100, 600, 1200)
 
 
-def _change() -> configuration.Change:
+def _change() -> document_changes.Change:
     text = (
         f'[team booking]\nkey_sha256 = {"a" * 64}\n\n[service bookings]\n'
         f'team = booking\naddress = {SERVICE_ADDRESS}\nbackend_servers = bookings-*\n'
     )
-    return configuration.Change(
+    return document_changes.Change(
         generation=1,
         change_id='bench',
         who='bench',
--- a/src/egretjunction/_config_cli.py
+++ b/src/egretjunction/_config_cli.py
@@ -8,6 +8,7 @@
 import msgspec
 import typer
 
+from egretjunction import document_changes
 from egretjunction import logs
 from egretjunction import operators
 from egretjunction import platform
@@ -105,7 +106,7 @@
     wanted = _load(path)
     service = platform.Platform(url)
 
-    async def run() -> configuration.Change | None:
+    async def run() -> document_changes.Change | None:
         if base is None:
             begun = (await operators.read(service)).document
         else:
@@ -131,7 +132,7 @@
     logs.configure('config')
     service = platform.Platform(url)
 
-    async def run() -> configuration.Change | None:
+    async def run() -> document_changes.Change | None:
         begun = (await operators.read(service)).document
         wanted = await operators.read_generation(service, generation)
         author = _author(who, team, key_file, note or f'revert to {generation}')
@@ -189,7 +190,7 @@
     _print(found, as_json, '\n'.join(lines))
 
 
-def _print_change(change: configuration.Change | None, as_json: bool) -> None:
+def _print_change(change: document_changes.Change | None, as_json: bool) -> None:
     if change is None:
         _print(None, as_json, 'nothing to change')
         return
--- a/src/egretjunction/decisions/agent_control.py
+++ b/src/egretjunction/decisions/agent_control.py
@@ -3,6 +3,7 @@
 import typing
 
 from egretjunction import addresses
+from egretjunction import member_records
 from egretjunction.decisions import announcing
 from egretjunction.decisions import config_exchange
 from egretjunction.decisions import configuration
@@ -36,7 +37,7 @@
 
     def __init__(
         self,
-        me: membership.Member,
+        me: member_records.Member,
         seeds: typing.Sequence[addresses.Address],
     ) -> None:
         self.me = me
@@ -86,7 +87,7 @@
         self,
         now: float,
         *,
-        state: membership.State | None = None,
+        state: member_records.State | None = None,
         fitness: int | None = None,
     ) -> list[effects.Effect]:
         """Take a new state or fitness and announce it at once."""
@@ -170,7 +171,7 @@
 
     def _refute(
         self,
-        known: membership.Member,
+        known: member_records.Member,
         now: float,
     ) -> list[effects.Effect]:
         """Replace a newer record about this agent that it did not make.
--- a/src/egretjunction/decisions/announcing.py
+++ b/src/egretjunction/decisions/announcing.py
@@ -3,8 +3,8 @@
 import typing
 
 from egretjunction import addresses
+from egretjunction import member_records
 from egretjunction.decisions import effects
-from egretjunction.decisions import membership
 from egretjunction.wire import messages
 
 
@@ -14,7 +14,7 @@
     __slots__ = ('_version_by_home',)
 
     def __init__(self) -> None:
-        self._version_by_home: dict[addresses.Address, membership.Version] = {}
+        self._version_by_home: dict[addresses.Address, member_records.Version] = {}
 
     def forget(self, home: addresses.Address) -> None:
         """Send this home the whole record next time; it does not have it."""
@@ -23,7 +23,7 @@
     def to(
         self,
         homes: typing.Iterable[addresses.Address],
-        me: membership.Member,
+        me: member_records.Member,
         generation: int,
         roster: int,
     ) -> list[effects.Effect]:
@@ -35,7 +35,7 @@
         :param roster: hash of the entries that it knows.
         """
         found: list[effects.Effect] = []
-        version_by_home: dict[addresses.Address, membership.Version] = {}
+        version_by_home: dict[addresses.Address, member_records.Version] = {}
         for home in homes:
             if self._version_by_home.get(home) == me.version:
                 alive = messages.Alive(
--- a/src/egretjunction/decisions/config_exchange.py
+++ b/src/egretjunction/decisions/config_exchange.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from egretjunction import document_changes
 from egretjunction import errors
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
@@ -13,7 +14,7 @@
 
 def follow(
     in_force: configuration.InForce,
-    changes: typing.Iterable[configuration.Change],
+    changes: typing.Iterable[document_changes.Change],
 ) -> list[effects.Effect]:
     """Put changes in force that follow the present generation."""
     return _adopt(in_force, lambda: in_force.follow(changes))
@@ -21,7 +22,7 @@
 
 def replace(
     in_force: configuration.InForce,
-    change: configuration.Change,
+    change: document_changes.Change,
     text: str,
 ) -> list[effects.Effect]:
     """Put a whole document in force if it is newer."""
@@ -69,7 +70,7 @@
     return [log]
 
 
-def _last_change(in_force: configuration.InForce) -> configuration.Change:
+def _last_change(in_force: configuration.InForce) -> document_changes.Change:
     """Return the change in force without its sections, as a snapshot's label."""
     return msgspec.structs.replace(in_force.recent[-1], sections={})
 
--- a/src/egretjunction/decisions/configuration.py
+++ b/src/egretjunction/decisions/configuration.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from egretjunction import document_changes
 from egretjunction import errors
 from egretjunction.decisions import document
 
@@ -16,36 +17,6 @@
 MAX_RECENT_CHANGES = 64
 
 
-class Change(msgspec.Struct, frozen=True, kw_only=True):
-    """One accepted change: an entry of the audit trail and a delta.
-
-    :param sections: new text of each changed section, None for a removed one.
-    """
-
-    generation: int
-    change_id: str
-    who: str
-    team: str
-    when: str
-    note: str
-    sections: dict[str, str | None]
-
-
-class Head(msgspec.Struct, frozen=True, kw_only=True):
-    """The record that the platform's compare-and-swap protects.
-
-    :param snapshot_key: key of the whole document at this generation.
-    :param snapshot_sha256: digest of that document.
-    :param recent: the latest changes, oldest first.
-    """
-
-    generation: int
-    change_id: str
-    snapshot_key: str
-    snapshot_sha256: str
-    recent: tuple[Change, ...]
-
-
 def difference(
     before: dict[str, str],
     after: dict[str, str],
@@ -100,11 +71,11 @@
 
 
 def advance(
-    head: Head | None,
-    change: Change,
+    head: document_changes.Head | None,
+    change: document_changes.Change,
     snapshot_key: str,
     document_text: str,
-) -> tuple[Head, tuple[Change, ...]]:
+) -> tuple[document_changes.Head, tuple[document_changes.Change, ...]]:
     """Return the head after a change and the changes that no longer fit in it.
 
     :param head: the head before, None for the first change.
@@ -122,7 +93,7 @@
         dropped.append(recent.pop(0))
     if len(msgspec.json.encode(recent)) > MAX_RECENT_BYTES:
         recent = [msgspec.structs.replace(change, sections={})]
-    advanced = Head(
+    advanced = document_changes.Head(
         generation=change.generation,
         change_id=change.change_id,
         snapshot_key=snapshot_key,
@@ -144,9 +115,9 @@
         self.generation = 0
         self.change_id = ''
         self.document = document.Document({}, {}, {})
-        self.recent: tuple[Change, ...] = ()
+        self.recent: tuple[document_changes.Change, ...] = ()
 
-    def follow(self, changes: typing.Iterable[Change]) -> bool:
+    def follow(self, changes: typing.Iterable[document_changes.Change]) -> bool:
         """Apply changes that follow the generation in force.
 
         Changes up to the generation in force are skipped. A gap stops the walk:
@@ -156,7 +127,7 @@
         """
         wanted = self.generation + 1
         followed = self.document
-        applied: list[Change] = []
+        applied: list[document_changes.Change] = []
         for change in sorted(changes, key=lambda each: each.generation):
             if change.generation == wanted and change.sections:
                 source = f'generation {wanted}'
@@ -169,7 +140,7 @@
         self._remember(applied)
         return True
 
-    def replace(self, change: Change, text: str) -> bool:
+    def replace(self, change: document_changes.Change, text: str) -> bool:
         """Take a whole document if its generation is newer.
 
         :param change: the change that made the document.
@@ -184,7 +155,9 @@
         self._remember([change])
         return True
 
-    def changes_after(self, generation: int) -> tuple[Change, ...] | None:
+    def changes_after(
+        self, generation: int
+    ) -> tuple[document_changes.Change, ...] | None:
         """Return the changes from a generation to the one in force.
 
         :return: None when they are not all kept here.
@@ -196,11 +169,13 @@
             return later
         return None
 
-    def _set(self, change: Change, followed: document.Document) -> None:
+    def _set(
+        self, change: document_changes.Change, followed: document.Document
+    ) -> None:
         self.generation = change.generation
         self.change_id = change.change_id
         self.document = followed
 
-    def _remember(self, applied: list[Change]) -> None:
+    def _remember(self, applied: list[document_changes.Change]) -> None:
         kept = [*self.recent, *applied][-MAX_RECENT_CHANGES:]
         self.recent = tuple(kept)
--- a/src/egretjunction/decisions/domains.py
+++ b/src/egretjunction/decisions/domains.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from egretjunction.decisions import membership
+from egretjunction import member_records
 
 SILENT_AFTER_SECONDS = 15.0
 
@@ -51,9 +51,9 @@
 
     def reachable(
         self,
-        members: typing.Sequence[membership.Member],
+        members: typing.Sequence[member_records.Member],
         now: float,
-    ) -> list[membership.Member]:
+    ) -> list[member_records.Member]:
         """Return the members in domains that are not silent, or all if none is.
 
         :param members: agents of one service.
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -4,6 +4,8 @@
 import typing
 
 from egretjunction import addresses
+from egretjunction import document_changes
+from egretjunction import member_records
 from egretjunction.decisions import announcing
 from egretjunction.decisions import config_exchange
 from egretjunction.decisions import configuration
@@ -47,7 +49,7 @@
         'view',
     )
 
-    def __init__(self, me: membership.Member, seeds: typing.Sequence) -> None:
+    def __init__(self, me: member_records.Member, seeds: typing.Sequence) -> None:
         self.me = me
         self.view = membership.View()
         self.duty = membership.HomeDuty()
@@ -65,7 +67,9 @@
         self._told_generation = 0
         self.view.merge(me, 0)
 
-    def change_state(self, state: membership.State, now: float) -> list[effects.Effect]:
+    def change_state(
+        self, state: member_records.State, now: float
+    ) -> list[effects.Effect]:
         """Take a new state and tell the neighbours at once."""
         self._renew(state, self.me.sequence + 1, now)
         return [*self._announce(now), *self._spread(now)]
@@ -103,7 +107,7 @@
 
     def adopt(
         self,
-        changes: typing.Iterable[configuration.Change],
+        changes: typing.Iterable[document_changes.Change],
         now: float,
     ) -> list[effects.Effect]:
         """Put changes in force that follow the present generation."""
@@ -112,7 +116,7 @@
 
     def adopt_snapshot(
         self,
-        change: configuration.Change,
+        change: document_changes.Change,
         text: str,
         now: float,
     ) -> list[effects.Effect]:
@@ -156,7 +160,7 @@
     def _record(self) -> messages.Record:
         return messages.to_record(self.me)
 
-    def _renew(self, state: membership.State, sequence: int, now: float) -> None:
+    def _renew(self, state: member_records.State, sequence: int, now: float) -> None:
         self.me = self.me.changed(state=state, sequence=sequence)
         self.view.merge(self.me, now)
         self._rumors.add(self.me.name)
@@ -203,7 +207,7 @@
         message = messages.Deltas(records)
         return [effects.SendTo(peer, message) for peer in self._peers()]
 
-    def _merge(self, member: membership.Member, now: float) -> list[effects.Effect]:
+    def _merge(self, member: member_records.Member, now: float) -> list[effects.Effect]:
         """Take one record in; a wrong record about this entry is refuted.
 
         That an unknown member is gone is no news. Taking it in would let entries
@@ -216,7 +220,7 @@
                 self._renew(self.me.state, member.sequence + 1, now)
             return []
         before = self.view.get(member.name)
-        is_gone = member.state is membership.State.GONE
+        is_gone = member.state is member_records.State.GONE
         if (before is None and is_gone) or not self.view.merge(member, now):
             return []
         self._rumors.add(member.name)
@@ -233,14 +237,14 @@
             ),
         ]
 
-    def _watch_if_home(self, member: membership.Member, now: float) -> None:
+    def _watch_if_home(self, member: member_records.Member, now: float) -> None:
         """Expect a member that others told of to announce itself here.
 
         Otherwise a record of a dead member that came back from a cut-off entry,
         after the others had forgotten it, would stay for ever.
         """
         is_home = self.me in self.view.homes(member.name)
-        if is_home and member.state is not membership.State.GONE:
+        if is_home and member.state is not member_records.State.GONE:
             self.duty.watch(member.name, now)
 
     def _merge_all(
@@ -273,7 +277,7 @@
 
     def _on_alive(self, message: messages.Alive, now: float) -> list[effects.Effect]:
         known = self.view.get(message.name)
-        version = membership.Version(message.incarnation, message.sequence, False)
+        version = member_records.Version(message.incarnation, message.sequence, False)
         if known is None or known.version < version:
             wish = messages.Welcome(
                 addresses.pack(self.me.control),
@@ -289,7 +293,7 @@
     def _welcome(
         self,
         name: str,
-        version: membership.Version,
+        version: member_records.Version,
         told: int,
     ) -> effects.Reply:
         generation = self.in_force.generation
--- a/src/egretjunction/decisions/membership.py
+++ b/src/egretjunction/decisions/membership.py
@@ -6,14 +6,13 @@
 so views that saw the same records are equal whatever the order.
 """
 
-import enum
 import heapq
 import itertools
 import typing
 
 import xxhash
 
-from egretjunction import addresses
+from egretjunction import member_records
 
 HOME_COUNT = 2
 BUCKET_COUNT = 1024
@@ -23,117 +22,6 @@
 FORGET_GONE_SECONDS = 120.0
 DIGEST_SECONDS = 5.0
 RUMOR_SENDS = 2
-FULL_WEIGHT = 100
-
-
-class Kind(enum.Enum):
-    """What a member is."""
-
-    AGENT = 'agent'
-    ENTRY = 'entry'
-
-
-class State(enum.Enum):
-    """What a member says of itself, or what its home entries found."""
-
-    WARMING = 'warming'
-    SERVING = 'serving'
-    DRAINING = 'draining'
-    GONE = 'gone'
-
-
-class Version(typing.NamedTuple):
-    """Order of the records of one member."""
-
-    incarnation: int
-    sequence: int
-    is_gone: bool
-
-
-class Member:
-    """One record of the view.
-
-    :param name: unique name from the member's settings.
-    :param kind: agent or entry.
-    :param service: service that an agent serves; empty for an entry.
-    :param domain: failure domain.
-    :param address: where its datagrams go.
-    :param control: where its control messages go.
-    :param incarnation: number of the process, rising with each start.
-    :param sequence: number of the record within the incarnation.
-    :param state: its state.
-    :param fitness: weight in hundredths that its health allows.
-    """
-
-    __slots__ = (
-        'address',
-        'control',
-        'domain',
-        'fitness',
-        'incarnation',
-        'kind',
-        'name',
-        'sequence',
-        'service',
-        'state',
-    )
-
-    def __init__(
-        self,
-        *,
-        name: str,
-        kind: Kind,
-        service: str,
-        domain: str,
-        address: addresses.Address,
-        control: addresses.Address,
-        incarnation: int,
-        sequence: int,
-        state: State,
-        fitness: int = FULL_WEIGHT,
-    ) -> None:
-        self.name = name
-        self.kind = kind
-        self.service = service
-        self.domain = domain
-        self.address = address
-        self.control = control
-        self.incarnation = incarnation
-        self.sequence = sequence
-        self.state = state
-        self.fitness = fitness
-
-    @property
-    def version(self) -> Version:
-        """Return the order of this record among those of the member."""
-        return Version(self.incarnation, self.sequence, self.state is State.GONE)
-
-    @property
-    def weight(self) -> float:
-        """Return the fitness as a share between 0 and 1."""
-        return self.fitness / FULL_WEIGHT
-
-    def changed(
-        self,
-        *,
-        state: State | None = None,
-        fitness: int | None = None,
-        sequence: int | None = None,
-        incarnation: int | None = None,
-    ) -> 'Member':
-        """Return a copy with some fields replaced."""
-        return Member(
-            name=self.name,
-            kind=self.kind,
-            service=self.service,
-            domain=self.domain,
-            address=self.address,
-            control=self.control,
-            incarnation=self.incarnation if incarnation is None else incarnation,
-            sequence=self.sequence if sequence is None else sequence,
-            state=self.state if state is None else state,
-            fitness=self.fitness if fitness is None else fitness,
-        )
 
 
 def bucket_of(name: str) -> int:
@@ -141,7 +29,7 @@
     return xxhash.xxh3_64_intdigest(name.encode()) % BUCKET_COUNT
 
 
-def _record_hash(name: str, version: Version) -> int:
+def _record_hash(name: str, version: member_records.Version) -> int:
     text = f'{name} {version.incarnation} {version.sequence} {version.is_gone}'
     return xxhash.xxh32_intdigest(text.encode())
 
@@ -159,22 +47,22 @@
     )
 
     def __init__(self) -> None:
-        self._by_name: dict[str, Member] = {}
-        self._agents_by_service: dict[str, dict[str, Member]] = {}
+        self._by_name: dict[str, member_records.Member] = {}
+        self._agents_by_service: dict[str, dict[str, member_records.Member]] = {}
         self._gone_at_by_name: dict[str, float] = {}
         self._buckets = [0 for _ in range(BUCKET_COUNT)]
-        self._entries: list[Member] | None = None
-        self._homes_by_name: dict[str, list[Member]] = {}
+        self._entries: list[member_records.Member] | None = None
+        self._homes_by_name: dict[str, list[member_records.Member]] = {}
 
     def __len__(self) -> int:
         """Return the number of records, those of gone members included."""
         return len(self._by_name)
 
-    def get(self, name: str) -> Member | None:
+    def get(self, name: str) -> member_records.Member | None:
         """Return the record of a member, or None."""
         return self._by_name.get(name)
 
-    def merge(self, member: Member, now: float) -> bool:
+    def merge(self, member: member_records.Member, now: float) -> bool:
         """Take a record in if it is newer than what is known.
 
         :param member: the record.
@@ -185,7 +73,7 @@
         if known is not None and known.version >= member.version:
             return False
         self._replace(known, member)
-        if member.state is State.GONE:
+        if member.state is member_records.State.GONE:
             self._gone_at_by_name[member.name] = now
         else:
             self._gone_at_by_name.pop(member.name, None)
@@ -198,21 +86,29 @@
                 self._gone_at_by_name.pop(name)
                 self._replace(self._by_name[name], None)
 
-    def agents(self, service: str) -> list[Member]:
+    def agents(self, service: str) -> list[member_records.Member]:
         """Return the agents of a service that are not gone."""
         known = self._agents_by_service.get(service, {})
-        return [member for member in known.values() if member.state is not State.GONE]
+        return [
+            member
+            for member in known.values()
+            if member.state is not member_records.State.GONE
+        ]
 
-    def entries(self) -> list[Member]:
+    def entries(self) -> list[member_records.Member]:
         """Return the entries that are not gone, by name."""
         if self._entries is None:
             known = self._agents_by_service.get('', {}).values()
-            live = (member for member in known if member.state is not State.GONE)
+            live = (
+                member
+                for member in known
+                if member.state is not member_records.State.GONE
+            )
             self._entries = sorted(live, key=lambda member: member.name)
             self._homes_by_name.clear()
         return self._entries
 
-    def homes(self, name: str) -> list[Member]:
+    def homes(self, name: str) -> list[member_records.Member]:
         """Return the entries that a member announces itself to."""
         entries = self.entries()
         homes = self._homes_by_name.get(name)
@@ -247,7 +143,9 @@
             != packed[bucket * size : bucket * size + size]
         ]
 
-    def members_in(self, buckets: typing.Collection[int]) -> list[Member]:
+    def members_in(
+        self, buckets: typing.Collection[int]
+    ) -> list[member_records.Member]:
         """Return the records in some buckets."""
         wanted = set(buckets)
         return [
@@ -256,9 +154,11 @@
             if bucket_of(name) in wanted
         ]
 
-    def _replace(self, known: Member | None, member: Member | None) -> None:
+    def _replace(
+        self, known: member_records.Member | None, member: member_records.Member | None
+    ) -> None:
         changed = member if known is None else known
-        if changed is not None and changed.kind is Kind.ENTRY:
+        if changed is not None and changed.kind is member_records.Kind.ENTRY:
             self._entries = None
         if known is not None:
             self._by_name.pop(known.name)
@@ -270,7 +170,7 @@
             group[member.name] = member
             self._toggle(member)
 
-    def _toggle(self, member: Member) -> None:
+    def _toggle(self, member: member_records.Member) -> None:
         bucket = bucket_of(member.name)
         self._buckets[bucket] ^= _record_hash(member.name, member.version)
 
@@ -300,7 +200,9 @@
         for name in self._heard_at_by_name:
             self._heard_at_by_name[name] = now
 
-    def expired(self, view: View, own_name: str, now: float) -> list[Member]:
+    def expired(
+        self, view: View, own_name: str, now: float
+    ) -> list[member_records.Member]:
         """Return records that say gone for members that fell silent.
 
         A member that moved to other homes is dropped here without a record. A
@@ -316,14 +218,16 @@
                 continue
             self._heard_at_by_name.pop(name)
             member = view.get(name)
-            if member is None or member.state is State.GONE:
+            if member is None or member.state is member_records.State.GONE:
                 continue
             if any(home.name == own_name for home in view.homes(name)):
-                gone.append(member.changed(state=State.GONE))
+                gone.append(member.changed(state=member_records.State.GONE))
         return gone
 
 
-def homes_of(name: str, entries: typing.Sequence[Member]) -> list[Member]:
+def homes_of(
+    name: str, entries: typing.Sequence[member_records.Member]
+) -> list[member_records.Member]:
     """Return the entries that a member announces itself to.
 
     :param name: the member's name.
@@ -337,7 +241,9 @@
     )
 
 
-def neighbours_of(name: str, entries: typing.Sequence[Member], count: int) -> list[str]:
+def neighbours_of(
+    name: str, entries: typing.Sequence[member_records.Member], count: int
+) -> list[str]:
     """Return the names of entries that one entry gossips with.
 
     The entries form a ring by the hash of their names; each talks to those at
@@ -358,7 +264,7 @@
     return chosen
 
 
-def roster_of(members: typing.Iterable[Member]) -> int:
+def roster_of(members: typing.Iterable[member_records.Member]) -> int:
     """Return a hash of names, addresses and incarnations, never 0."""
     lines = sorted(
         f'{member.name} {member.address} {member.incarnation}' for member in members
@@ -390,9 +296,9 @@
 
 
 def eligible(
-    members: typing.Iterable[Member],
-    matches: typing.Callable[[Member], bool],
-) -> list[Member]:
+    members: typing.Iterable[member_records.Member],
+    matches: typing.Callable[[member_records.Member], bool],
+) -> list[member_records.Member]:
     """Return the agents of a service that may get new flows.
 
     :param members: agents of the service that are not gone.
@@ -401,5 +307,5 @@
     return [
         member
         for member in members
-        if member.state is State.SERVING and matches(member)
+        if member.state is member_records.State.SERVING and matches(member)
     ]
--- a/src/egretjunction/decisions/routing.py
+++ b/src/egretjunction/decisions/routing.py
@@ -9,6 +9,7 @@
 
 from egretjunction import addresses
 from egretjunction import errors
+from egretjunction import member_records
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import domains
@@ -50,7 +51,7 @@
 
     __slots__ = ('member', 'name', 'weight')
 
-    def __init__(self, member: membership.Member, weight: float) -> None:
+    def __init__(self, member: member_records.Member, weight: float) -> None:
         self.member = member
         self.name = member.name
         self.weight = weight
@@ -175,7 +176,7 @@
     def _weight(
         self,
         service: document.Service,
-        member: membership.Member,
+        member: member_records.Member,
         now: float,
     ) -> float:
         since = self._serving_since(member, now)
@@ -183,7 +184,7 @@
         fitness = member.weight or health.LEVELS[-2]
         return service.share_of(member.name) * fitness * ramp
 
-    def _serving_since(self, member: membership.Member, now: float) -> float:
+    def _serving_since(self, member: member_records.Member, now: float) -> float:
         known = self._serving_since_by_name.get(member.name)
         if known is None or known[0] != member.incarnation:
             known = (member.incarnation, now)
--- a/src/egretjunction/decisions/welcoming.py
+++ b/src/egretjunction/decisions/welcoming.py
@@ -3,6 +3,7 @@
 import itertools
 
 from egretjunction import addresses
+from egretjunction import member_records
 from egretjunction.decisions import membership
 from egretjunction.wire import messages
 
@@ -11,10 +12,10 @@
 
 def welcome(
     view: membership.View,
-    me: membership.Member,
+    me: member_records.Member,
     generation: int,
     name: str,
-    version: membership.Version,
+    version: member_records.Version,
     told: int,
 ) -> messages.Welcome:
     """Return the answer, with lists of entries only when the member's are old.
@@ -45,7 +46,7 @@
     )
 
 
-def _entries_for(view: membership.View, name: str) -> list[membership.Member]:
+def _entries_for(view: membership.View, name: str) -> list[member_records.Member]:
     """Return a few entries, spread differently for each member."""
     entries = view.entries()
     step = max(1, len(entries) // ENTRIES_TOLD)
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -9,6 +9,7 @@
 from tornado import simple_httpclient
 
 from egretjunction import addresses
+from egretjunction import document_changes
 from egretjunction import errors
 from egretjunction import logs
 from egretjunction import platform
@@ -52,7 +53,7 @@
 
     def __init__(
         self,
-        head: configuration.Head | None,
+        head: document_changes.Head | None,
         revision: int,
         document: document.Document,
     ) -> None:
@@ -74,13 +75,13 @@
     item = await service.get(platform.HEAD_KEY)
     if not item.revision:
         return Accepted(None, 0, EMPTY)
-    head = msgspec.json.decode(item.value, type=configuration.Head)
+    head = msgspec.json.decode(item.data, type=document_changes.Head)
     snapshot = await service.get(head.snapshot_key)
-    if document.digest(snapshot.value) != head.snapshot_sha256:
+    if document.digest(snapshot.data.decode()) != head.snapshot_sha256:
         raise errors.PlatformUnavailableError(
             f'"{head.snapshot_key}" does not match the digest in the head',
         )
-    accepted = document.parse(snapshot.value, head.snapshot_key)
+    accepted = document.parse(snapshot.data.decode(), head.snapshot_key)
     return Accepted(head, item.revision, accepted)
 
 
@@ -137,15 +138,15 @@
     for change in recent:
         if change.generation == generation:
             item = await service.get(snapshot_key(change))
-            if item.value:
-                return document.parse(item.value, item.key)
+            if item.data:
+                return document.parse(item.data.decode(), item.key)
     known = ', '.join(str(each.generation) for each in recent)
     raise errors.RefusedError(
         f'there is no snapshot of generation {generation}, only of: {known}',
     )
 
 
-def snapshot_key(change: configuration.Change) -> str:
+def snapshot_key(change: document_changes.Change) -> str:
     """Return the key of the whole document that a change made."""
     return f'{SNAPSHOT_PREFIX}{change.generation}-{change.change_id}'
 
@@ -155,7 +156,7 @@
     base: document.Document,
     wanted: document.Document,
     author: Author,
-) -> configuration.Change | None:
+) -> document_changes.Change | None:
     """Have a change accepted: merge, check, then compare-and-swap.
 
     :param service: the platform.
@@ -226,8 +227,8 @@
         self._base = base
         self._author = author
         self._doubted_revision: int | None = None
-        self._written: configuration.Change | None = None
-        self.accepted_change: configuration.Change | None = None
+        self._written: document_changes.Change | None = None
+        self.accepted_change: document_changes.Change | None = None
         self.change_id = uuid.uuid4().hex
         self.wanted = wanted
 
@@ -255,7 +256,7 @@
         self,
         accepted: Accepted,
         merged: document.Document,
-        change: configuration.Change,
+        change: document_changes.Change,
     ) -> bool:
         """Put the snapshot, then swap the head; only the swap makes it accepted."""
         text = merged.text()
@@ -286,7 +287,7 @@
             await _retire(self._service, snapshot_key(written))
 
 
-def find(accepted: Accepted, change_id: str) -> configuration.Change | None:
+def find(accepted: Accepted, change_id: str) -> document_changes.Change | None:
     """Return an accepted change by its id, None when it is not in the trail."""
     if accepted.head is None:
         return None
@@ -326,9 +327,9 @@
     merged: document.Document,
     author: Author,
     change_id: str,
-) -> configuration.Change:
+) -> document_changes.Change:
     now = datetime.datetime.now(datetime.UTC)
-    return configuration.Change(
+    return document_changes.Change(
         generation=accepted.generation + 1,
         change_id=change_id,
         who=author.who,
--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -8,6 +8,7 @@
 from tornado import simple_httpclient
 
 from egretjunction import errors
+from egretjunction import store
 
 HEAD_KEY = 'config/head'
 ENTRIES_PREFIX = 'entries/'
@@ -22,19 +23,20 @@
 HTTP_SERVER_ERROR = 500
 
 
-class Item(msgspec.Struct, frozen=True):
-    """One key of the service.
-
-    :param revision: changes with each write; 0 when there is no such key.
-    """
+class _Item(msgspec.Struct):
+    """An item as the service writes it."""
 
     key: str
     value: str
     revision: int
 
+    def decoded(self) -> store.Item:
+        """Return the item as the rest of the package knows it."""
+        return store.Item(self.key, self.value.encode(), self.revision)
+
 
 class _Items(msgspec.Struct):
-    items: list[Item]
+    items: list[_Item]
 
 
 class _Revision(msgspec.Struct):
@@ -60,14 +62,14 @@
             max_clients=MAX_CALLS,
         )
 
-    async def get(self, key: str) -> Item:
+    async def get(self, key: str) -> store.Item:
         """Return a key's item; its revision is 0 when there is none.
 
         :raises errors.PlatformUnavailableError: when the service does not answer.
         """
         return await self._read(f'/v1/kv/{key}', key, CALL_SECONDS)
 
-    async def watch(self, key: str, revision: int) -> Item:
+    async def watch(self, key: str, revision: int) -> store.Item:
         """Wait until a key has another revision, or for ``WATCH_SECONDS``.
 
         :raises errors.PlatformUnavailableError: when the service does not answer.
@@ -76,14 +78,15 @@
         patience = WATCH_SECONDS + WATCH_GRACE_SECONDS
         return await self._read(f'/v1/kv/{key}{query}', key, patience)
 
-    async def list_prefix(self, prefix: str) -> list[Item]:
+    async def list_prefix(self, prefix: str) -> list[store.Item]:
         """Return the items whose key begins with a prefix.
 
         :raises errors.PlatformUnavailableError: when the service does not answer.
         """
         try:
             response = await self._call('GET', f'/v1/kv?prefix={prefix}')
-            return msgspec.json.decode(response.body, type=_Items).items
+            found = msgspec.json.decode(response.body, type=_Items)
+            return [item.decoded() for item in found.items]
         except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
             raise errors.PlatformUnavailableError(f'list failed: {error}') from error
 
@@ -127,17 +130,17 @@
             return False
         return True
 
-    async def _read(self, path: str, key: str, seconds: float) -> Item:
+    async def _read(self, path: str, key: str, seconds: float) -> store.Item:
         try:
             response = await self._call('GET', path, seconds=seconds)
         except httpclient.HTTPClientError as error:
             if error.code == HTTP_NOT_FOUND:
-                return Item(key, '', 0)
+                return store.Item(key, b'', 0)
             raise errors.PlatformUnavailableError(f'read failed: {error}') from error
         except OSError as error:
             raise errors.PlatformUnavailableError(f'read failed: {error}') from error
         try:
-            return msgspec.json.decode(response.body, type=Item)
+            return msgspec.json.decode(response.body, type=_Item).decoded()
         except msgspec.DecodeError as error:
             raise errors.PlatformUnavailableError(f'bad answer: {error}') from error
 
--- a/src/egretjunction/quic/agent.py
+++ b/src/egretjunction/quic/agent.py
@@ -16,6 +16,7 @@
 from egretjunction import errors
 from egretjunction import lifecycles
 from egretjunction import logs
+from egretjunction import member_records
 from egretjunction import metrics
 from egretjunction import platform
 from egretjunction import settings
@@ -23,7 +24,6 @@
 from egretjunction.decisions import dispatch
 from egretjunction.decisions import health
 from egretjunction.decisions import incarnations
-from egretjunction.decisions import membership
 from egretjunction.decisions import ownership
 from egretjunction.quic import arrivals
 from egretjunction.quic import connections
@@ -159,21 +159,23 @@
     def _begin_drain(self) -> None:
         now = self._clock()
         self._drain_began_at = now
-        self._links.apply(self._control.change(now, state=membership.State.DRAINING))
+        self._links.apply(
+            self._control.change(now, state=member_records.State.DRAINING)
+        )
         for flow in self._flows.all():
             flow.go_away()
 
-    def _own_record(self) -> membership.Member:
-        return membership.Member(
+    def _own_record(self) -> member_records.Member:
+        return member_records.Member(
             name=self._given.name,
-            kind=membership.Kind.AGENT,
+            kind=member_records.Kind.AGENT,
             service=self._given.service,
             domain=self._given.domain,
             address=self._given.data,
             control=self._given.data,
             incarnation=self._incarnation,
             sequence=0,
-            state=membership.State.WARMING,
+            state=member_records.State.WARMING,
         )
 
     def _register_figures(self) -> None:
@@ -233,7 +235,7 @@
     def _tick(self) -> None:
         now = self._clock()
         self._requests.expire()
-        fitness = round(self._health.weight(now) * membership.FULL_WEIGHT)
+        fitness = round(self._health.weight(now) * member_records.FULL_WEIGHT)
         self._links.apply(self._control.change(now, fitness=fitness))
         self._links.apply(self._control.tick(now))
         self._links.close_idle()
@@ -254,7 +256,7 @@
 
     def _leave(self, event: str) -> None:
         if self._lifecycle.send(event):
-            gone = self._control.change(self._clock(), state=membership.State.GONE)
+            gone = self._control.change(self._clock(), state=member_records.State.GONE)
             self._links.apply(gone)
             ioloop.IOLoop.current().call_later(LEAVE_SECONDS, self._stopped.set)
 
@@ -282,7 +284,9 @@
             self.drain()
         elif claim.state == 'warm' and self._lifecycle.send('warm'):
             now = self._clock()
-            self._links.apply(self._control.change(now, state=membership.State.SERVING))
+            self._links.apply(
+                self._control.change(now, state=member_records.State.SERVING)
+            )
 
     async def _find_entries(self) -> None:
         """Read the registry of entries while no entry has answered."""
@@ -298,4 +302,6 @@
             except errors.PlatformUnavailableError as error:
                 logs.get().warning('registry_unavailable', error=str(error))
                 continue
-            self._control.add_seeds([addresses.parse(item.value) for item in items])
+            self._control.add_seeds(
+                [addresses.parse(item.data.decode()) for item in items]
+            )
--- a/src/egretjunction/quic/entry.py
+++ b/src/egretjunction/quic/entry.py
@@ -9,17 +9,18 @@
 
 from egretjunction import _admin
 from egretjunction import _udp
+from egretjunction import document_changes
 from egretjunction import errors
 from egretjunction import lifecycles
 from egretjunction import logs
+from egretjunction import member_records
 from egretjunction import metrics
 from egretjunction import platform
 from egretjunction import settings
-from egretjunction.decisions import configuration
+from egretjunction import store
 from egretjunction.decisions import document
 from egretjunction.decisions import entry_control
 from egretjunction.decisions import incarnations
-from egretjunction.decisions import membership
 from egretjunction.decisions import routing
 from egretjunction.quic import control
 from egretjunction.quic import drops
@@ -102,7 +103,7 @@
         if not self._lifecycle.send('drain'):
             return
         self._links.apply(
-            self._control.change_state(membership.State.GONE, self._clock()),
+            self._control.change_state(member_records.State.GONE, self._clock()),
         )
         ioloop.IOLoop.current().call_later(DRAIN_SECONDS, self._leave)
 
@@ -110,17 +111,17 @@
         self._lifecycle.send('quiet')
         self._stopped.set()
 
-    def _own_record(self) -> membership.Member:
-        return membership.Member(
+    def _own_record(self) -> member_records.Member:
+        return member_records.Member(
             name=self._given.name,
-            kind=membership.Kind.ENTRY,
+            kind=member_records.Kind.ENTRY,
             service='',
             domain=self._given.domain,
             address=self._given.data,
             control=self._given.control,
             incarnation=incarnations.from_clock(time.time()),
             sequence=0,
-            state=membership.State.SERVING,
+            state=member_records.State.SERVING,
         )
 
     def _register_figures(self) -> None:
@@ -212,7 +213,7 @@
                 self._figures.count('platform_failures')
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def _next_head(self) -> platform.Item:
+    async def _next_head(self) -> store.Item:
         """Wait for the next head: watch it as a representative, else look rarely."""
         is_configured = self._control.in_force.generation > 0
         if is_configured and not self._control.is_representative:
@@ -220,13 +221,13 @@
             return await self._platform.get(platform.HEAD_KEY)
         return await self._platform.watch(platform.HEAD_KEY, self._head_revision)
 
-    async def _take_head(self, item: platform.Item) -> None:
+    async def _take_head(self, item: store.Item) -> None:
         self._head_revision = item.revision
-        if not item.value:
+        if not item.data:
             await asyncio.sleep(RETRY_SECONDS)
             return
         try:
-            head = msgspec.json.decode(item.value, type=configuration.Head)
+            head = msgspec.json.decode(item.data, type=document_changes.Head)
         except msgspec.DecodeError as error:
             logs.get().error('head_unreadable', error=str(error))
             await asyncio.sleep(RETRY_SECONDS)
@@ -243,13 +244,14 @@
             await self._take_snapshot(head)
         self._note_progress()
 
-    async def _take_snapshot(self, head: configuration.Head) -> None:
+    async def _take_snapshot(self, head: document_changes.Head) -> None:
         item = await self._platform.get(head.snapshot_key)
-        if document.digest(item.value) != head.snapshot_sha256:
+        text = item.data.decode()
+        if document.digest(text) != head.snapshot_sha256:
             logs.get().error('snapshot_is_wrong', key=head.snapshot_key)
             raise errors.PlatformUnavailableError('snapshot does not match its digest')
         change = head.recent[-1]
-        found = self._control.adopt_snapshot(change, item.value, self._clock())
+        found = self._control.adopt_snapshot(change, text, self._clock())
         self._links.apply(found)
 
     async def _keep_registered(self) -> None:
--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -7,6 +7,7 @@
 
 from egretjunction import addresses
 from egretjunction import errors
+from egretjunction import store
 from egretjunction.decisions import relay_routes
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
@@ -14,7 +15,6 @@
 from egretjunction.relay import adapter
 from egretjunction.relay import http_calls
 from egretjunction.relay import listings
-from egretjunction.relay import store
 
 WAIT_SECONDS = 3.0  # a watch that hears nothing is repeated this soon
 NEWER_SECONDS = 0.3  # between attempts to read a version that others follow
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -8,9 +8,9 @@
 from egretjunction import _udp
 from egretjunction import errors
 from egretjunction import metrics
+from egretjunction import store
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.relay import packets
-from egretjunction.relay import store
 from egretjunction.wire import relaying
 
 RETRY_SECONDS = 0.4  # an outage of the store ends at most this long before a call
--- a/src/egretjunction/relay/adapter.py
+++ b/src/egretjunction/relay/adapter.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
+from egretjunction import store
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_server
 from egretjunction.relay import packets
-from egretjunction.relay import store
 
 
 class Leave(msgspec.Struct, frozen=True):
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -10,6 +10,7 @@
 from egretjunction import _udp
 from egretjunction import errors
 from egretjunction import metrics
+from egretjunction import store
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
@@ -21,7 +22,6 @@
 from egretjunction.relay import listings
 from egretjunction.relay import packets
 from egretjunction.relay import settings
-from egretjunction.relay import store
 from egretjunction.wire import relaying
 
 TICK_SECONDS = 0.025
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from egretjunction import addresses
+from egretjunction import store
 from egretjunction.decisions import relay_members
-from egretjunction.relay import store
 
 PREFIX = 'egretjunction/'
 AGENTS = 'egretjunction/agents/'
--- a/src/egretjunction/standins/cluster.py
+++ b/src/egretjunction/standins/cluster.py
@@ -16,9 +16,9 @@
 
 from egretjunction import addresses
 from egretjunction import caller
+from egretjunction import document_changes
 from egretjunction import operators
 from egretjunction import platform
-from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.standins import certificates
 from egretjunction.standins import sizes
@@ -190,7 +190,7 @@
             },
         )
 
-    async def accept_document(self) -> configuration.Change | None:
+    async def accept_document(self) -> document_changes.Change | None:
         """Have the first document accepted, as its operators would."""
         team = self.size.services[0].team
         author = operators.Author('demo', team, team_key_digest(team), 'start')
--- a/src/egretjunction/relay/store.py
+++ b/src/egretjunction/store.py
@@ -1,4 +1,8 @@
-"""What relaying needs of the platform's key-value service."""
+"""The platform's key-value service: its types, and what relaying calls.
+
+Two clients answer with these types: ``egretjunction.platform`` speaks the dialect of
+the product's own platform, the folder ``platform/`` that of the operators'.
+"""
 
 import typing
 
--- a/src/egretjunction/wire/messages.py
+++ b/src/egretjunction/wire/messages.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from egretjunction import addresses
+from egretjunction import document_changes
 from egretjunction import errors
-from egretjunction.decisions import configuration
-from egretjunction.decisions import membership
+from egretjunction import member_records
 
 SEAL_BYTES = 8
 MAX_MESSAGE_BYTES = 2_000_000
@@ -19,14 +19,14 @@
     """A membership record as it travels."""
 
     name: str
-    kind: membership.Kind
+    kind: member_records.Kind
     service: str
     domain: str
     address: bytes
     control: bytes
     incarnation: int
     sequence: int
-    state: membership.State
+    state: member_records.State
     fitness: int
 
 
@@ -139,13 +139,13 @@
 class ConfigurationChanges(msgspec.Struct, tag='f', array_like=True, frozen=True):
     """The changes after the asked generation, oldest first."""
 
-    changes: tuple[configuration.Change, ...]
+    changes: tuple[document_changes.Change, ...]
 
 
 class ConfigurationSnapshot(msgspec.Struct, tag='s', array_like=True, frozen=True):
     """A whole document, or the sections of one service."""
 
-    change: configuration.Change
+    change: document_changes.Change
     text: str
 
 
@@ -166,7 +166,7 @@
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
-def to_record(member: membership.Member) -> Record:
+def to_record(member: member_records.Member) -> Record:
     """Return the travelling form of a membership record."""
     return Record(
         member.name,
@@ -182,7 +182,7 @@
     )
 
 
-def to_member(record: Record) -> membership.Member:
+def to_member(record: Record) -> member_records.Member:
     """Return the membership record of its travelling form.
 
     :raises errors.PacketError: when an address has not six bytes.
@@ -190,7 +190,7 @@
     sizes = {len(record.address), len(record.control)}
     if sizes != {addresses.PACKED_BYTES}:
         raise errors.PacketError('record has a malformed address')
-    return membership.Member(
+    return member_records.Member(
         name=record.name,
         kind=record.kind,
         service=record.service,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,9 +1,10 @@
 """Builds the records that several tests need."""
 
 from egretjunction import addresses
+from egretjunction import document_changes
+from egretjunction import member_records
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
-from egretjunction.decisions import membership
 
 KEY = b'0123456789abcdef'
 KEY_DIGEST = 'a' * 64
@@ -29,19 +30,19 @@
     name: str,
     number: int = 1,
     *,
-    kind: membership.Kind = membership.Kind.AGENT,
-    state: membership.State = membership.State.SERVING,
+    kind: member_records.Kind = member_records.Kind.AGENT,
+    state: member_records.State = member_records.State.SERVING,
     incarnation: int = 1,
     sequence: int = 0,
     fitness: int = 100,
     domain: str = 'domain-1',
     service: str = 'bookings',
-) -> membership.Member:
+) -> member_records.Member:
     """Return a membership record."""
-    return membership.Member(
+    return member_records.Member(
         name=name,
         kind=kind,
-        service='' if kind is membership.Kind.ENTRY else service,
+        service='' if kind is member_records.Kind.ENTRY else service,
         domain=domain,
         address=address(number),
         control=address(10_000 + number),
@@ -52,19 +53,19 @@
     )
 
 
-def entry(name: str, number: int, domain: str = 'domain-1') -> membership.Member:
+def entry(name: str, number: int, domain: str = 'domain-1') -> member_records.Member:
     """Return the record of an entry."""
-    return member(name, number, kind=membership.Kind.ENTRY, domain=domain)
+    return member(name, number, kind=member_records.Kind.ENTRY, domain=domain)
 
 
 def change(
     generation: int,
     sections: dict[str, str | None] | None = None,
     change_id: str = '',
-) -> configuration.Change:
+) -> document_changes.Change:
     """Return a change record; by default it sets up the service ``bookings``."""
     given = document.split(DOCUMENT) if sections is None else sections
-    return configuration.Change(
+    return document_changes.Change(
         generation=generation,
         change_id=change_id or f'change-{generation}',
         who='tester',
--- a/tests/decisions/test_control.py
+++ b/tests/decisions/test_control.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from egretjunction import member_records
 from egretjunction.decisions import domains
 from egretjunction.decisions import entry_control
 from egretjunction.decisions import membership
@@ -129,7 +130,7 @@
 
 def test_a_leaving_agent_gets_no_new_work_within_three_seconds():
     network, entries, agents = _system()
-    state = membership.State.DRAINING
+    state = member_records.State.DRAINING
     network.apply(agents[1], agents[1].change(network.now, state=state))
     network.run(3)
     for entry in entries:
@@ -170,11 +171,11 @@
 
 def test_a_record_about_itself_that_says_gone_is_refuted_by_an_entry():
     network, entries, _ = _system()
-    wrong = entries[0].me.changed(state=membership.State.GONE)
+    wrong = entries[0].me.changed(state=member_records.State.GONE)
     network.apply(entries[1], entries[1]._merge(wrong, network.now))
     network.run(10)
     for entry in entries:
-        assert entry.view.get('entry-1').state is membership.State.SERVING
+        assert entry.view.get('entry-1').state is member_records.State.SERVING
 
 
 def test_a_reused_name_with_a_new_incarnation_replaces_the_old_one():
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -6,15 +6,16 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from egretjunction import member_records
 from egretjunction.decisions import membership
 from tests import builders
 
-GONE = membership.State.GONE
+GONE = member_records.State.GONE
 RECORDS = st.lists(
     st.builds(
         builders.member,
         name=st.sampled_from(['a', 'b', 'c']),
-        state=st.sampled_from(membership.State),
+        state=st.sampled_from(member_records.State),
         incarnation=st.integers(1, 3),
         sequence=st.integers(0, 3),
     ),
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from egretjunction import member_records
 from egretjunction.decisions import domains
 from egretjunction.decisions import membership
 from egretjunction.decisions import ownership
@@ -11,7 +12,7 @@
 from tests import builders
 
 LONG = b'\xc0\x00\x00\x00\x01\x08'
-DRAINING = membership.State.DRAINING
+DRAINING = member_records.State.DRAINING
 
 
 def _router(members=(), in_force=None):
--- a/tests/platform/test_kv_store.py
+++ b/tests/platform/test_kv_store.py
@@ -8,7 +8,7 @@
 
 from egretjunction import addresses
 from egretjunction import errors
-from egretjunction.relay import store
+from egretjunction import store
 from tests.platform import store_standin
 
 
--- a/tests/stepping.py
+++ b/tests/stepping.py
@@ -4,7 +4,7 @@
 import types
 
 from egretjunction import errors
-from egretjunction import platform
+from egretjunction import store
 
 
 @types.coroutine
@@ -51,13 +51,13 @@
         self.lease_by_key.clear()
 
     def _get(self, key):
-        return self.item_by_key.get(key, platform.Item(key, '', 0))
+        return self.item_by_key.get(key, store.Item(key, b'', 0))
 
     def _put(self, key, value, revision, lease):
         if self._get(key).revision != revision:
             raise errors.ConflictError(key)
         self.revision += 1
-        self.item_by_key[key] = platform.Item(key, value, self.revision)
+        self.item_by_key[key] = store.Item(key, value.encode(), self.revision)
         if lease:
             self.lease_by_key[key] = lease
         return self.revision
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from egretjunction import document_changes
 from egretjunction import errors
 from egretjunction import operators
 from egretjunction import platform
@@ -179,7 +180,7 @@
             wanted = _document(booking=100 + number)
             _apply(service, current, wanted).finish()
             current = wanted
-    head = service.item_by_key[platform.HEAD_KEY].value
+    head = service.item_by_key[platform.HEAD_KEY].data
     assert len(head) <= configuration.MAX_RECENT_BYTES + 500
     generations = {change.generation for change in _accepted(service).head.recent}
     exported = {
@@ -203,8 +204,8 @@
 
 def test_snapshot_that_does_not_match_its_digest_is_refused(service):
     head = msgspec.json.decode(
-        service.item_by_key[platform.HEAD_KEY].value,
-        type=configuration.Head,
+        service.item_by_key[platform.HEAD_KEY].data,
+        type=document_changes.Head,
     )
     service._put(
         head.snapshot_key, 'changed', service._get(head.snapshot_key).revision, 0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -33,7 +33,7 @@
         with pytest.raises(errors.ConflictError):
             await client.put('a', 'two', 0)
         await client.put('a', 'two', first)
-        assert (await client.get('a')).value == 'two'
+        assert (await client.get('a')).data == b'two'
         assert (await client.get('missing')).revision == 0
 
     _with_platform(work)
@@ -47,7 +47,7 @@
         store.faults.lose_requests = 1
         with pytest.raises(errors.NotKnownError):
             await client.put('b', 'one', 0)
-        assert (await client.get('a')).value == 'one'
+        assert (await client.get('a')).data == b'one'
         assert (await client.get('b')).revision == 0
 
     _with_platform(work)
@@ -84,7 +84,7 @@
         watch = asyncio.create_task(client.watch('a', revision))
         await asyncio.sleep(0.05)
         await client.put('a', 'two', revision)
-        assert (await watch).value == 'two'
+        assert (await watch).data == b'two'
 
     _with_platform(work)
 
--- a/tests/wiring.py
+++ b/tests/wiring.py
@@ -4,10 +4,10 @@
 import itertools
 import random
 
+from egretjunction import member_records
 from egretjunction.decisions import agent_control
 from egretjunction.decisions import effects
 from egretjunction.decisions import entry_control
-from egretjunction.decisions import membership
 from egretjunction.wire import messages
 from tests import builders
 
@@ -38,7 +38,7 @@
         me = builders.member(
             name,
             number,
-            kind=membership.Kind.ENTRY,
+            kind=member_records.Kind.ENTRY,
             domain=domain,
             **changes,
         )
