--- a/src/egretjunction/_udp.py
+++ b/src/egretjunction/_udp.py
@@ -65,8 +65,12 @@
         self._loop.remove_reader(self._socket)
         self._socket.close()
 
-    def _on_ready(self) -> None:
-        for _ in range(BATCH_SIZE):
+    def read(self, limit: int) -> None:
+        """Hand over what has arrived.
+
+        :param limit: most datagrams to read.
+        """
+        for _ in range(limit):
             try:
                 datagram, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
@@ -75,3 +79,6 @@
                 self.dropped += 1
                 return
             self._receive(datagram, sender)
+
+    def _on_ready(self) -> None:
+        self.read(BATCH_SIZE)
--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -322,19 +322,22 @@
         entry: addresses.Address,
         now: float,
     ) -> list[effects.Effect]:
-        flow = self._flow_by_key.get(find.key)
-        if flow is not None and flow.server_sequence is not None and not flow.is_open:
-            ahead = (find.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
-            flow = flow if ahead <= 1 else None
-        answer: relaying.Message
-        if flow is not None and not flow.is_provisional:
-            sequence = flow.server_sequence or 0
-            answer = relaying.Held(find.token, find.key, sequence, self.status(now))
-        elif self.server.is_known_since_birth or self.server.is_gone:
-            answer = relaying.NotHeld(find.token, self.status(now))
-        else:
-            answer = relaying.Unsure(find.token, self.status(now))
-        return [effects.Send(entry, answer)]
+        status = self.status(now)
+        answers: list[relaying.Message] = []
+        others: list[int] = []
+        for question in find.questions:
+            flow = self._flow_by_key.get(question.key)
+            if flow is not None and _answers(flow, question):
+                sequence = flow.server_sequence or 0
+                held = relaying.Held(question.token, question.key, sequence, status)
+                answers.append(held)
+            else:
+                others.append(question.token)
+        if others and status.is_sure:
+            answers.append(relaying.NotHeld(others, status))
+        elif others:
+            answers.append(relaying.Unsure(others, status))
+        return [effects.Send(entry, answer) for answer in answers]
 
     def _on_ask(
         self,
@@ -347,7 +350,7 @@
         if flow is None or flow.is_provisional:
             return self._inquire(packet, entry, ask.token, now)
         if not _belongs(flow, packet):
-            denied = relaying.NotHeld(ask.token, self.status(now))
+            denied = relaying.NotHeld([ask.token], self.status(now))
             return [effects.Send(entry, denied)]
         held = relaying.Held(
             ask.token, packet.key, flow.server_sequence or 0, self.status(now)
@@ -523,13 +526,23 @@
     return ahead <= 1
 
 
+def _answers(flow: relay_flows.Flow, question: relaying.Question) -> bool:
+    """Tell whether a flow is the one that an entry searches."""
+    if flow.is_provisional:
+        return False
+    if flow.is_open or flow.server_sequence is None:
+        return True
+    ahead = (question.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
+    return ahead <= 1
+
+
 def _denial(question: relay_flows.Question, status: relaying.Status) -> effects.Send:
     """Return the answer to whoever asked about a flow that the server denies."""
     answer: relaying.Message
     if question.is_first:
         answer = relaying.Passed(question.token, relaying.Reason.REFUSED, status)
     elif question.token:
-        answer = relaying.NotHeld(question.token, status)
+        answer = relaying.NotHeld([question.token], status)
     else:
         answer = relaying.Returned(question.packet, status)
     return effects.Send(question.entry, answer)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -6,19 +6,21 @@
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_pending
+from egretjunction.decisions import relay_questions
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_waiting
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
 OFFER_SECONDS = 0.06  # twice the way to another failure domain, and a handshake
-WAITING_SECONDS = 0.05  # a waiting first packet is offered anew, whatever agents tell
+WAITING_SECONDS = 0.05  # members with room get waiting first packets this often
 SEARCH_SECONDS = 0.08  # an agent's wait for its server, and the way
 SEARCH_LIFE_SECONDS = 1.0
 IDLE_SECONDS = 75.0  # flows are at most 60 s old, and 15 s idle
 EARLY_SECONDS = 0.02  # an agent's answer is at most one way between domains behind
 QUEUE_PACKETS = 32  # both windows of a flow
-SEARCH_WIDTH = 12  # agents asked at once
+SEARCH_WIDTH = 64  # agents asked at once
+FULL_SECONDS = 0.002  # for each member: 500 offers a second to full servers
 MAX_PENDING = 4096
 
 
@@ -28,6 +30,7 @@
     :param members: the agents it knows.
     :param routes: the routes in force.
     :param codec: knows the address of a flow's route.
+    :param link_mbps: megabits a second that this entry's link carries.
     """
 
     def __init__(
@@ -35,6 +38,7 @@
         members: relay_members.Members,
         routes: relay_routes.Routes,
         codec: packets.Codec,
+        link_mbps: float,
     ) -> None:
         self.members = members
         self.routes = routes
@@ -43,9 +47,11 @@
         self._flow_by_key: dict[bytes, relay_pending.Flow] = {}
         self._offer_by_token: dict[int, relay_pending.Offer] = {}
         self._search_by_token: dict[int, relay_pending.Search] = {}
+        self._questions = relay_questions.Questions(link_mbps)
         self._token_by_key: dict[bytes, int] = {}
         self._token = 0
         self._swept_at = float('-inf')
+        self._refilled_at = float('-inf')
         self._handler_by_kind: dict[type, typing.Any] = {
             relaying.Held: self._on_held,
             relaying.Passed: self._on_passed,
@@ -116,20 +122,28 @@
         )
         return [changed, *found]
 
-    def tick(self, now: float) -> list[effects.Effect]:
-        """Do what is due."""
+    def tick(self, now: float, late: float = 0) -> list[effects.Effect]:
+        """Do what is due.
+
+        :param late: seconds by which this process was held up since the last call.
+        """
+        self.members.excuse(late)
         found: list[effects.Effect] = []
         for member in self.members.due_for_ping(now):
             member.pinged_at = now
             member.asked(now)
             ping = relaying.Ping(self.routes.version, not member.is_listed)
             found.append(effects.Send(member.address, ping))
+        if now - self._refilled_at >= WAITING_SECONDS:
+            self._refilled_at = now
+            found.extend(self._fill_all(now))
         for token, offer in list(self._offer_by_token.items()):
             if now >= offer.due_at:
                 found += self._advance_offer(token, offer, now)
         for token, search in list(self._search_by_token.items()):
             if now >= search.due_at:
                 found += self._advance_search(token, search, now)
+        found += self._ask(now)
         if now - self._swept_at > 1:
             self._swept_at = now
             self._sweep(now)
@@ -169,37 +183,55 @@
         """Offer a first packet to the next member, or let it wait for room."""
         if offer.early:
             self._end_offer(token, offer)
-            found: list[effects.Effect] = []
-            for packet in offer.early:
-                found.extend(self._on_unknown(packet, now))
-            return found
+            return self._flush(offer.early, now)
         if relay_waiting.is_hopeless(offer, now):
             self._end_offer(token, offer)
             return [self._reset(offer.packet, 'nobody_took_it')]
-        ranked = self.members.ranked(offer.service, offer.key, now)
-        untried = [member for member in ranked if member.name not in offer.tried]
-        if not untried and not offer.is_final:
+        member = self._next_member(offer, now)
+        if member is None and not offer.is_final:
             offer.is_final = True
             offer.tried.clear()
-            untried = ranked
-        if offer.is_final:
-            untried = [member for member in untried if member.room() > 0]
-        if untried:
-            return [self._offer(token, offer, untried[0], now)]
+            member = self._next_member(offer, now)
+        if member is not None:
+            return [self._offer(token, offer, member, now)]
+        waiting = effects.Log(
+            'flow_waiting',
+            flow=offer.key.hex(),
+            route=offer.route,
+            version=self.routes.version,
+            tried=len(offer.tried),
+        )
         offer.tried.clear()
-        offer.due_at = now + WAITING_SECONDS
-        if offer.is_waiting:
-            return []
+        offer.due_at = relay_waiting.hopeless_at(offer)
         offer.is_waiting = True
-        return [
-            effects.Log(
-                'flow_waiting',
-                flow=offer.key.hex(),
-                route=offer.route,
-                version=self.routes.version,
-                members=len(ranked),
+        return [waiting]
+
+    def _next_member(
+        self,
+        offer: relay_pending.Offer,
+        now: float,
+    ) -> relay_members.Member | None:
+        """Return the best member that may have room for a first packet.
+
+        One that was full a moment ago is not asked, and the moment grows with the
+        number of members, so that the offers to full servers stay bounded.
+        """
+        if offer.is_final:
+            return self.members.best(
+                offer.service,
+                offer.key,
+                now,
+                lambda each: each.name not in offer.tried and each.room() > 0,
+            )
+        moment = FULL_SECONDS * len(self.members.member_by_name)
+        return self.members.best(
+            offer.service,
+            offer.key,
+            now,
+            lambda each: (
+                each.name not in offer.tried and not each.is_full(now - moment)
             ),
-        ]
+        )
 
     def _offer(
         self,
@@ -221,6 +253,10 @@
         )
         return effects.Send(member.address, message)
 
+    def _fill_all(self, now: float) -> typing.Iterator[effects.Effect]:
+        for member in self.members.member_by_name.values():
+            yield from self._fill(member, now)
+
     def _fill(
         self,
         member: relay_members.Member,
@@ -228,7 +264,7 @@
     ) -> list[effects.Effect]:
         """Offer what waits to a member that has room."""
         found: list[effects.Effect] = []
-        if not self._offer_by_token or not member.may_take(now):
+        if not self._offer_by_token or member.room() <= 0 or not member.may_take(now):
             return found
         token_by_offer = {
             offer: token
@@ -297,35 +333,42 @@
         alive = [member for member in members if not member.is_dead(now)]
         open_members = [member for member in alive if member.name not in search.denied]
         if not open_members:
-            return self._give_up_search(token, search, now)
+            return self._give_up_search(token, search)
         search.due_at = now + SEARCH_SECONDS
         fresh = [member for member in open_members if member.name not in search.asked]
-        found: list[effects.Effect] = []
         for member in (fresh or open_members)[:SEARCH_WIDTH]:
             search.asked.add(member.name)
-            member.asked(now)
-            found.append(self._question(token, search, member))
-        return found
+            self._question(token, search, member)
+        return list(self._ask(now))
 
     def _question(
         self,
         token: int,
         search: relay_pending.Search,
         member: relay_members.Member,
-    ) -> effects.Send:
-        """Return what asks a member whether it holds a flow."""
+    ) -> None:
+        """Ask a member whether it holds a flow, or let it ask its server."""
         packet = search.queue[0]
         if member.status.is_sure and member.name not in search.unsure:
-            find = relaying.Find(token, search.key, packet.acknowledged)
-            return effects.Send(member.address, find)
-        search.given.add(member.name)
-        return effects.Send(member.address, relaying.Ask(token, packet.raw))
+            question = relaying.Question(token, search.key, packet.acknowledged)
+            self._questions.add(member.address, question)
+        else:
+            search.given.add(member.name)
+            self._questions.add_ask(member.address, relaying.Ask(token, packet.raw))
+
+    def _ask(self, now: float) -> list[effects.Send]:
+        """Return the questions whose turn has come."""
+        found = self._questions.due(now, self._search_by_token.__contains__)
+        for each in found:
+            member = self.members.member_by_address.get(each.address)
+            if member is not None:
+                member.asked(now)
+        return found
 
     def _give_up_search(
         self,
         token: int,
         search: relay_pending.Search,
-        now: float,
     ) -> list[effects.Effect]:
         self._end_search(token, search)
         return [self._reset(search.queue[-1], 'nobody_holds_it')]
@@ -407,11 +450,13 @@
         member: relay_members.Member,
         now: float,
     ) -> list[effects.Effect]:
-        search = self._search_by_token.get(denial.token)
-        if search is None:
-            return []
-        search.denied.add(member.name)
-        return self._continue_search(denial.token, search, now)
+        found: list[effects.Effect] = []
+        for token in denial.tokens:
+            search = self._search_by_token.get(token)
+            if search is not None:
+                search.denied.add(member.name)
+                found += self._continue_search(token, search, now)
+        return found
 
     def _on_unsure(
         self,
@@ -419,11 +464,12 @@
         member: relay_members.Member,
         now: float,
     ) -> list[effects.Effect]:
-        search = self._search_by_token.get(unsure.token)
-        if search is None:
-            return []
-        search.unsure.add(member.name)
-        return [self._question(unsure.token, search, member)]
+        for token in unsure.tokens:
+            search = self._search_by_token.get(token)
+            if search is not None:
+                search.unsure.add(member.name)
+                self._question(token, search, member)
+        return list(self._ask(now))
 
     def _continue_search(
         self,
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -98,6 +98,12 @@
         cold = COLD_PENALTY if self.status.cold_ms else 0
         return load / max(1, self.status.slots) + cold
 
+    def is_full(self, since: float) -> bool:
+        """Tell whether all slots are taken, as heard since a time in seconds."""
+        if self.heard_at < since:
+            return False
+        return self.status.work + self.expected_work >= self.status.slots
+
     def room(self) -> float:
         """Return how many more requests it takes when all are full."""
         limit = self.status.slots * (1 + relay_work.QUEUE_SHARE)
@@ -161,19 +167,28 @@
             if member.service in services
         ]
 
-    def ranked(
+    def best(
         self,
         service: str,
         key: bytes,
         now: float,
-    ) -> list[Member]:
-        """Return the members that may take a new flow, the best first."""
-        usable = [
-            member
+        suits: typing.Callable[[Member], bool],
+    ) -> Member | None:
+        """Return the least loaded member that may take a new flow.
+
+        :param key: the flow's key, which decides between equals.
+        :param suits: further condition on a member.
+        """
+        steps_by_member = {
+            member: self._cost_steps(member)
             for member in self.member_by_name.values()
-            if member.service == service and member.may_take(now)
-        ]
-        return sorted(usable, key=lambda member: self._cost(member, key))
+            if member.service == service and member.may_take(now) and suits(member)
+        }
+        if not steps_by_member:
+            return None
+        fewest = min(steps_by_member.values())
+        least = [each for each, steps in steps_by_member.items() if steps == fewest]
+        return min(least, key=lambda each: _tie(each, key))
 
     def is_cut_off(self, now: float) -> bool:
         """Tell whether no agent of some service answers this entry.
@@ -187,6 +202,11 @@
             reached_by_service[member.service] = reached or is_reached
         return not all(reached_by_service.values())
 
+    def excuse(self, seconds: float) -> None:
+        """Do not count time in which this process read no answers as silence."""
+        for member in self.member_by_name.values():
+            member.asked_at += seconds
+
     def due_for_ping(self, now: float) -> list[Member]:
         """Return the members whose status should be asked for now."""
         return [
@@ -203,10 +223,13 @@
             if member.silent_seconds(now) > FORGOTTEN_SECONDS
         ]
 
-    def _cost(self, member: Member, key: bytes) -> tuple[float, int]:
+    def _cost_steps(self, member: Member) -> int:
         away = 0 if member.domain == self._domain else FOREIGN_PENALTY
-        steps = round((member.fullness() + away) * 10)
-        return steps, xxhash.xxh32_intdigest(member.name.encode() + key)
+        return round((member.fullness() + away) * 10)
+
+
+def _tie(member: Member, key: bytes) -> int:
+    return xxhash.xxh32_intdigest(member.name.encode() + key)
 
 
 def _ping_interval(member: Member, now: float) -> float:
--- a/src/egretjunction/decisions/relay_waiting.py
+++ b/src/egretjunction/decisions/relay_waiting.py
@@ -35,8 +35,12 @@
 
 def is_hopeless(waiting: Waiting, now: float) -> bool:
     """Tell whether a request cannot be answered before its deadline."""
-    left = waiting.began_at + waiting.timeout_seconds - now
-    return left < SHORTEST_REQUEST_SECONDS
+    return now >= hopeless_at(waiting)
+
+
+def hopeless_at(waiting: Waiting) -> float:
+    """Return when a request cannot be answered before its deadline any more."""
+    return waiting.began_at + waiting.timeout_seconds - SHORTEST_REQUEST_SECONDS
 
 
 def next_of(waiting: typing.Iterable[Waiting], now: float) -> Waiting | None:
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -25,6 +25,7 @@
 from egretjunction.wire import relaying
 
 TICK_SECONDS = 0.025
+MAX_ANSWERS = 1000  # read before silence is judged; some at the most loaded
 EARLY_SECONDS = 0.6  # copies of older packets have come by then, maybe elsewhere
 MAX_EARLY_PACKETS = 512  # of clients, while configuration and agents are read
 MEMBERS_WAIT_SECONDS = 15.0
@@ -55,7 +56,7 @@
         self._members = relay_members.Members(given.domain)
         self._routes = relay_routes.Routes()
         self._flows = relay_entry.EntryFlows(
-            self._members, self._routes, platform.codec
+            self._members, self._routes, platform.codec, given.link_mbps
         )
         self._is_listed = False
         self._listed_at: float | None = None
@@ -64,6 +65,7 @@
         )
         self._draining_since: float | None = None
         self._client_at = float('-inf')
+        self._ticked_at = self._clock()
         self._loop = _loop.Loop()
         self._figures = metrics.Metrics('entry')
         self._configuration = _configuration.Follower(
@@ -194,8 +196,11 @@
         self._outlet.apply(found)
 
     def _tick(self) -> None:
+        self._agents.read(MAX_ANSWERS)
         now = self._clock()
-        self._outlet.apply(self._flows.tick(now))
+        late = max(float(0), now - self._ticked_at - TICK_SECONDS)
+        self._ticked_at = now
+        self._outlet.apply(self._flows.tick(now, late))
         self._configuration.heard_of(self._flows.newest_version)
         if self._draining_since is None:
             return
--- a/src/egretjunction/relay/settings.py
+++ b/src/egretjunction/relay/settings.py
@@ -7,6 +7,8 @@
 from egretjunction import _ini
 from egretjunction import addresses
 
+UNLIMITED_MBPS = 10_000.0  # more than one process fills
+
 
 class RelayEntry(msgspec.Struct, frozen=True, kw_only=True):
     """Section ``[relay-entry]``.
@@ -18,6 +20,7 @@
     :param ready: HTTP address of the routers' readiness check.
     :param metrics: HTTP address of metrics and status.
     :param platform: HTTP address of the platform's key-value service.
+    :param link_mbps: megabits a second that the machine's link carries.
     """
 
     name: str
@@ -27,6 +30,7 @@
     ready: addresses.Address
     metrics: addresses.Address
     platform: addresses.Address
+    link_mbps: float = UNLIMITED_MBPS
 
     @property
     def client_port(self) -> int:
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -70,9 +70,10 @@
     packet: bytes
 
 
-class Find(msgspec.Struct, array_like=True, tag=3):
-    """Entry to agent: do you hold this flow?
+class Question(msgspec.Struct, array_like=True):
+    """One flow whose owner is searched.
 
+    :param token: names the search in answers.
     :param acknowledged: acknowledgement number of the client's packet.
     """
 
@@ -81,6 +82,12 @@
     acknowledged: int
 
 
+class Find(msgspec.Struct, array_like=True, tag=3):
+    """Entry to agent: which of these flows do you hold?"""
+
+    questions: list[Question]
+
+
 class Ask(msgspec.Struct, array_like=True, tag=4):
     """Entry to agent: ask the backend server whether it holds this flow."""
 
@@ -120,16 +127,16 @@
 
 
 class NotHeld(msgspec.Struct, array_like=True, tag=8):
-    """Agent to entry: neither the agent nor its backend server holds the flow."""
+    """Agent to entry: neither the agent nor its backend server holds the flows."""
 
-    token: int
+    tokens: list[int]
     status: Status
 
 
 class Unsure(msgspec.Struct, array_like=True, tag=9):
     """Agent to entry: only the backend server can tell."""
 
-    token: int
+    tokens: list[int]
     status: Status
 
 
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -115,19 +115,19 @@
 
 
 def test_agent_that_saw_its_server_start_denies_unknown_flows():
-    found = build.agent().on_message(relaying.Find(5, build.KEY, 501), build.ENTRY, 0)
+    found = build.agent().on_message(build.find(), build.ENTRY, 0)
     assert build.sent(found, relaying.NotHeld)
 
 
 def test_restarted_agent_asks_its_server_about_unknown_flows():
     agent = build.agent(is_known=False)
-    found = agent.on_message(relaying.Find(5, build.KEY, 501), build.ENTRY, 0)
+    found = agent.on_message(build.find(), build.ENTRY, 0)
     assert build.sent(found, relaying.Unsure)
     found = agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
     (given,) = build.of_kind(found, effects.ToServer)
     found = agent.on_server_packet(build.bounced(build.request(), given.token), 0.001)
     ((denied, _),) = build.sent(found, relaying.NotHeld)
-    assert denied.token == 5
+    assert denied.tokens == [5]
 
 
 def test_restarted_agent_adopts_a_flow_that_its_server_answers():
@@ -219,7 +219,7 @@
     found = agent.on_server_packet(reset, 0.001)
     assert not build.of_kind(found, effects.ToClient)
     ((denied, _),) = build.sent(found, relaying.NotHeld)
-    assert denied.token == 5
+    assert denied.tokens == [5]
     assert agent.flow_count == 0
 
 
@@ -269,7 +269,7 @@
     assert (held.token, held.sequence) == (9, 500)
     for step in range(100):
         agent.tick(2.5 + step * 0.025)
-    found = agent.on_message(relaying.Find(5, build.KEY, 501), build.ENTRY, 5.1)
+    found = agent.on_message(build.find(), build.ENTRY, 5.1)
     assert build.sent(found, relaying.Held)
 
 
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -93,7 +93,7 @@
     entry = build.entry('m-1', 'm-2')
     found = entry.on_client_packet(build.request(), 0)
     entry.on_client_packet(build.request(sequence=301), 0.001)
-    token = build.sent(found, relaying.Find)[0][0].token
+    token = build.sent(found, relaying.Find)[0][0].questions[0].token
     held = relaying.Held(token, build.KEY, 500, build.status())
     found = _answer(entry, 'm-2', held)
     assert [address for _, address in build.sent(found, relaying.Deliver)] == [
@@ -104,8 +104,8 @@
 def test_flow_that_nobody_holds_is_reset_as_soon_as_all_have_denied():
     entry = build.entry('m-1', 'm-2')
     found = entry.on_client_packet(build.request(), 0)
-    token = build.sent(found, relaying.Find)[0][0].token
-    denied = relaying.NotHeld(token, build.status())
+    token = build.sent(found, relaying.Find)[0][0].questions[0].token
+    denied = relaying.NotHeld([token], build.status())
     assert not build.of_kind(_answer(entry, 'm-1', denied), effects.Reset)
     (reset,) = build.of_kind(_answer(entry, 'm-2', denied), effects.Reset)
     assert reset.reason == 'nobody_holds_it'
@@ -114,8 +114,8 @@
 def test_flow_is_not_reset_while_a_member_may_hold_it():
     entry = build.entry('m-1', 'm-2')
     found = entry.on_client_packet(build.request(), 0)
-    token = build.sent(found, relaying.Find)[0][0].token
-    _answer(entry, 'm-1', relaying.NotHeld(token, build.status()))
+    token = build.sent(found, relaying.Find)[0][0].questions[0].token
+    _answer(entry, 'm-1', relaying.NotHeld([token], build.status()))
     found = []
     for step in range(1, 60):
         found += entry.tick(step * 0.025)
@@ -203,3 +203,26 @@
     found = _answer(entry, 'm-1', relaying.Pong(0, build.status(work=2)), 0.16)
     ((offered, _),) = _offers(found)
     assert offered.packet == fresh.raw
+
+
+def test_server_that_was_full_a_moment_ago_gets_no_offer():
+    """Under a rush every first packet was offered to every full server in turn."""
+    names = [f'm-{number}' for number in range(1, 11)]
+    entry = build.entry(*names)
+    for member in entry.members.member_by_name.values():
+        member.heard(build.status(work=3), 0)
+    assert not _offers(entry.on_client_packet(build.first(), 0.001))
+
+
+def test_waiting_first_packet_goes_to_a_member_that_has_room_by_now():
+    entry = build.entry('m-1')
+    _wait(entry, build.first(), 0)
+    entry.members.member_by_name['m-1'].heard(build.status(work=0), 0.01)
+    assert len(_offers(entry.tick(0.06))) == 1
+
+
+def test_time_in_which_the_entry_read_nothing_is_not_an_agents_silence():
+    entry = build.entry('m-1')
+    entry.members.member_by_name['m-1'].asked(0)
+    entry.tick(0.4, late=0.375)
+    assert _offers(entry.on_client_packet(build.first(), 0.401))
--- a/tests/decisions/test_relay_members.py
+++ b/tests/decisions/test_relay_members.py
@@ -36,11 +36,19 @@
     assert not members.is_cut_off(9)
 
 
+def _best(members, now, key=build.KEY, without=()):
+    """Return the name of the member that a new flow goes to, None without one."""
+    found = members.best(
+        build.SERVICE, key, now, lambda member: member.name not in without
+    )
+    return found and found.name
+
+
 def test_agent_that_owes_an_answer_gets_no_new_flow():
     members = _members('m-1', 'm-2')
     members.member_by_name['m-1'].asked(1)
-    ranked = members.ranked(build.SERVICE, build.KEY, 1.3)
-    assert [member.name for member in ranked] == ['m-2']
+    assert _best(members, 1.3) == 'm-2'
+    assert _best(members, 1.3, without=['m-2']) is None
 
 
 def test_agent_that_never_answered_is_pinged_often():
@@ -67,7 +75,7 @@
 def test_agent_without_a_key_stays_as_long_as_it_answers():
     members = _members('m-1')
     members.unlist_others(set(), 1)
-    assert members.ranked(build.SERVICE, build.KEY, 1)
+    assert _best(members, 1) == 'm-1'
     assert not members.forgettable(100)
 
 
@@ -75,21 +83,17 @@
     members = _members('m-1', 'm-2')
     members.member_by_name['m-1'].heard(build.status(cold_ms=900), 1)
     for number in range(20):
-        ranked = members.ranked(build.SERVICE, build.flow_key(number), 1)
-        assert ranked[0].name == 'm-2'
+        assert _best(members, 1, build.flow_key(number)) == 'm-2'
 
 
 def test_flows_spread_over_equally_full_agents():
     members = _members('m-1', 'm-2', 'm-3')
-    firsts = [
-        members.ranked(build.SERVICE, build.flow_key(number), 0)[0].name
-        for number in range(300)
-    ]
+    firsts = [_best(members, 0, build.flow_key(number)) for number in range(300)]
     assert all(firsts.count(name) > 60 for name in members.member_by_name)
 
 
 def test_leaving_agent_gets_no_new_flow():
     members = _members('m-1', 'm-2')
     members.member_by_name['m-1'].heard(build.status(relaying.State.GONE), 1)
-    ranked = members.ranked(build.SERVICE, build.KEY, 1)
-    assert [member.name for member in ranked] == ['m-2']
+    assert _best(members, 1) == 'm-2'
+    assert _best(members, 1, without=['m-2']) is None
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -129,6 +129,11 @@
     return relaying.Offer(token, relaying.tag_of(service), is_final, given.raw)
 
 
+def find(token=5, key=KEY, acknowledged=501):
+    """Return an entry's question for the owner of one flow."""
+    return relaying.Find([relaying.Question(token, key, acknowledged)])
+
+
 def member_address(name):
     """Return the address of a member by the number at the end of its name."""
     return addresses.Address(f'10.0.0.{name.rpartition("-")[2]}', 8000)
@@ -141,13 +146,13 @@
     )
 
 
-def entry(*names, domain='a', routes=None):
+def entry(*names, domain='a', routes=None, link_mbps=1000):
     """Return an entry that has heard from some ready members of its own domain."""
     members = relay_members.Members(domain)
     in_force = relay_routes.Routes()
     route = relay_routes.Route('r', ROUTE, {SERVICE: 1})
     in_force.adopt(routes or relay_routes.RouteTable(1, [route]))
-    built = relay_entry.EntryFlows(members, in_force, Codec())
+    built = relay_entry.EntryFlows(members, in_force, Codec(), link_mbps)
     for name in names:
         listed = relay_members.Member(name, SERVICE, domain, member_address(name))
         members.list_member(listed)
@@ -164,6 +169,15 @@
     ]
 
 
+def asks(found):
+    """Return the effects that ask agents for the owner of a flow."""
+    return [
+        effect
+        for effect in of_kind(found, effects.Send)
+        if isinstance(effect.message, (relaying.Ask, relaying.Find))
+    ]
+
+
 def of_kind(found, kind):
     """Return the effects of a kind."""
     return [effect for effect in found if isinstance(effect, kind)]
