An unsent question does not count as a packet given; waiting tells its members

A packet whose question waited for the budget was taken as given to the agent, and was left out of what the owner gets once found. The event flow_waiting had lost its field members, by which OPERATIONS.md tells full servers from none. Tests for both; the first fails on the commit before.

--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -199,7 +199,7 @@
             flow=offer.key.hex(),
             route=offer.route,
             version=self.routes.version,
-            tried=len(offer.tried),
+            members=self.members.count_ready(offer.service, now),
         )
         offer.tried.clear()
         offer.due_at = relay_waiting.hopeless_at(offer)
@@ -353,7 +353,6 @@
             question = relaying.Question(token, search.key, packet.acknowledged)
             self._questions.add(member.address, question)
         else:
-            search.given.add(member.name)
             self._questions.add_ask(member.address, relaying.Ask(token, packet.raw))
 
     def _ask(self, now: float) -> list[effects.Send]:
@@ -361,8 +360,11 @@
         found = self._questions.due(now, self._search_by_token.__contains__)
         for each in found:
             member = self.members.member_by_address.get(each.address)
-            if member is not None:
-                member.asked(now)
+            if member is None:
+                continue
+            member.asked(now)
+            if isinstance(each.message, relaying.Ask):
+                self._search_by_token[each.message.token].given.add(member.name)
         return found
 
     def _give_up_search(
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -190,6 +190,13 @@
         least = [each for each, steps in steps_by_member.items() if steps == fewest]
         return min(least, key=lambda each: _tie(each, key))
 
+    def count_ready(self, service: str, now: float) -> int:
+        """Return how many members of a service take new flows, full ones included."""
+        return sum(
+            member.service == service and member.may_take(now)
+            for member in self.member_by_name.values()
+        )
+
     def is_cut_off(self, now: float) -> bool:
         """Tell whether no agent of some service answers this entry.
 
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -226,3 +226,24 @@
     entry.members.member_by_name['m-1'].asked(0)
     entry.tick(0.4, late=0.375)
     assert _offers(entry.on_client_packet(build.first(), 0.401))
+
+
+def test_packet_of_a_question_that_was_not_sent_yet_still_goes_to_the_owner():
+    """A question beyond the budget was counted as if the owner had its packet."""
+    entry = build.entry('m-1', link_mbps=0)
+    entry.members.member_by_name['m-1'].heard(build.status(is_sure=False), 0)
+    assert not build.asks(entry.on_client_packet(build.request(), 0))
+    held = relaying.Held(0, build.KEY, 500, build.status())
+    found = _answer(entry, 'm-1', held)
+    ((delivered, _),) = build.sent(found, relaying.Deliver)
+    assert delivered.packet == build.request().raw
+
+
+def test_log_of_a_waiting_first_packet_tells_full_servers_from_none():
+    entry = build.entry('m-1', 'm-2')
+    for name, state in (('m-1', 'READY'), ('m-2', 'DRAINING')):
+        told = build.status(relaying.State[state], work=3)
+        entry.members.member_by_name[name].heard(told, 0)
+    found = entry.on_client_packet(build.first(), 0.001)
+    (logged,) = build.of_kind(found, effects.Log)
+    assert (logged.event, logged.fields['members']) == ('flow_waiting', 1)
