Relay: one piece for what stood twice

Found on reading the whole change once more; behaviour stays as it is. - _process.attend: signals, SIGHUP's line and the tick of both daemons; TICK_SECONDS stood in each of them. - _held and packets.is_answer_to: the answer that a flow is held was built in three places, the check whether a client acknowledges this server in two. - EntryFlows._next_member: two nearly equal calls of Members.best are one; Member.work holds the sum that three methods made. - Questions.due no longer copies all waiting questions on every call. - RelayEntry._is_listed was never read.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -234,9 +234,7 @@
         packet = self._codec.from_client(offer.packet)
         flow = self._flow_by_key.get(packet.key)
         if flow is not None and _is_copy(flow, packet):
-            held = relaying.Held(
-                offer.token, packet.key, flow.server_sequence or 0, self.status(now)
-            )
+            held = _held(flow, offer.token, packet.key, self.status(now))
             return [effects.ToServer(packet.raw), effects.Send(entry, held)]
         reason = self._reason_to_pass(offer, now)
         if reason is not None:
@@ -327,10 +325,8 @@
         others: list[int] = []
         for question in find.questions:
             flow = self._flow_by_key.get(question.key)
-            if flow is not None and _answers(flow, question):
-                sequence = flow.server_sequence or 0
-                held = relaying.Held(question.token, question.key, sequence, status)
-                answers.append(held)
+            if flow is not None and _is_wanted(flow, question):
+                answers.append(_held(flow, question.token, question.key, status))
             else:
                 others.append(question.token)
         if others and status.is_sure:
@@ -352,9 +348,7 @@
         if not _belongs(flow, packet):
             denied = relaying.NotHeld([ask.token], self.status(now))
             return [effects.Send(entry, denied)]
-        held = relaying.Held(
-            ask.token, packet.key, flow.server_sequence or 0, self.status(now)
-        )
+        held = _held(flow, ask.token, packet.key, self.status(now))
         return [effects.Send(entry, held), *self._deliver(flow, packet, entry, now)]
 
     def _inquire(
@@ -522,18 +516,26 @@
         return True
     if flow.server_sequence is None:
         return False
-    ahead = (packet.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
-    return ahead <= 1
+    return packets.is_answer_to(packet.acknowledged, flow.server_sequence)
 
 
-def _answers(flow: relay_flows.Flow, question: relaying.Question) -> bool:
+def _is_wanted(flow: relay_flows.Flow, question: relaying.Question) -> bool:
     """Tell whether a flow is the one that an entry searches."""
     if flow.is_provisional:
         return False
     if flow.is_open or flow.server_sequence is None:
         return True
-    ahead = (question.acknowledged - flow.server_sequence) % packets.SEQUENCE_RANGE
-    return ahead <= 1
+    return packets.is_answer_to(question.acknowledged, flow.server_sequence)
+
+
+def _held(
+    flow: relay_flows.Flow,
+    token: int,
+    key: bytes,
+    status: relaying.Status,
+) -> relaying.Held:
+    """Return the answer to whoever offered or searched a flow that is held here."""
+    return relaying.Held(token, key, flow.server_sequence or 0, status)
 
 
 def _denial(question: relay_flows.Question, status: relaying.Status) -> effects.Send:
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -216,22 +216,14 @@
         One that was full a moment ago is not asked, and the moment grows with the
         number of members, so that the offers to full servers stay bounded.
         """
-        if offer.is_final:
-            return self.members.best(
-                offer.service,
-                offer.key,
-                now,
-                lambda each: each.name not in offer.tried and each.room() > 0,
-            )
-        moment = FULL_SECONDS * len(self.members.member_by_name)
-        return self.members.best(
-            offer.service,
-            offer.key,
-            now,
-            lambda each: (
-                each.name not in offer.tried and not each.is_full(now - moment)
-            ),
-        )
+        since = now - FULL_SECONDS * len(self.members.member_by_name)
+
+        def suits(member: relay_members.Member) -> bool:
+            if member.name in offer.tried:
+                return False
+            return member.room() > 0 if offer.is_final else not member.is_full(since)
+
+        return self.members.best(offer.service, offer.key, now, suits)
 
     def _offer(
         self,
@@ -333,7 +325,8 @@
         alive = [member for member in members if not member.is_dead(now)]
         open_members = [member for member in alive if member.name not in search.denied]
         if not open_members:
-            return self._give_up_search(token, search)
+            self._end_search(token, search)
+            return [self._reset(search.queue[-1], 'nobody_holds_it')]
         search.due_at = now + SEARCH_SECONDS
         fresh = [member for member in open_members if member.name not in search.asked]
         for member in (fresh or open_members)[:SEARCH_WIDTH]:
@@ -367,14 +360,6 @@
                 self._search_by_token[each.message.token].given.add(member.name)
         return found
 
-    def _give_up_search(
-        self,
-        token: int,
-        search: relay_pending.Search,
-    ) -> list[effects.Effect]:
-        self._end_search(token, search)
-        return [self._reset(search.queue[-1], 'nobody_holds_it')]
-
     def _on_held(
         self,
         held: relaying.Held,
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -91,10 +91,14 @@
         """Tell whether new flows may be offered to it."""
         return self.status.state == relaying.State.READY and not self.is_suspect(now)
 
+    @property
+    def work(self) -> int:
+        """Return its requests at work, those offered since it told included."""
+        return self.status.work + self.expected_work
+
     def fullness(self) -> float:
         """Return its load as a share of its slots, a cold one's raised."""
-        work = self.status.work + self.expected_work
-        load = work + self.status.flows * FLOW_WORK
+        load = self.work + self.status.flows * FLOW_WORK
         cold = COLD_PENALTY if self.status.cold_ms else 0
         return load / max(1, self.status.slots) + cold
 
@@ -102,12 +106,11 @@
         """Tell whether all slots are taken, as heard since a time in seconds."""
         if self.heard_at < since:
             return False
-        return self.status.work + self.expected_work >= self.status.slots
+        return self.work >= self.status.slots
 
     def room(self) -> float:
         """Return how many more requests it takes when all are full."""
-        limit = self.status.slots * (1 + relay_work.QUEUE_SHARE)
-        return limit - self.status.work - self.expected_work
+        return self.status.slots * (1 + relay_work.QUEUE_SHARE) - self.work
 
 
 class Members:
--- a/src/egretjunction/decisions/relay_questions.py
+++ b/src/egretjunction/decisions/relay_questions.py
@@ -67,13 +67,12 @@
             if wanted:
                 self._credit -= HEAD_BYTES + QUESTION_BYTES * len(wanted)
                 found.append(effects.Send(agent, relaying.Find(wanted)))
-        for agent, token in list(self._asks):
-            if self._credit <= 0:
-                return found
-            ask = self._asks.pop((agent, token))
-            if is_open(token):
+        while self._asks and self._credit > 0:
+            oldest = next(iter(self._asks))
+            ask = self._asks.pop(oldest)
+            if is_open(ask.token):
                 self._credit -= HEAD_BYTES + len(ask.packet)
-                found.append(effects.Send(agent, ask))
+                found.append(effects.Send(oldest[0], ask))
         return found
 
     def _take(self, agent: addresses.Address) -> list[relaying.Question]:
--- a/src/egretjunction/quic/congestion.py
+++ b/src/egretjunction/quic/congestion.py
@@ -88,7 +88,7 @@
     def on_persistent_congestion(self) -> None:
         """Begin anew with the smallest window."""
         self._rates.clear()
-        self.congestion_window = MINIMUM_PACKETS * self._datagram_bytes
+        self.congestion_window = self._bounded(0)
 
     def on_rtt_measurement(self, *, now: float, rtt: float) -> None:
         """Take a round-trip time into the smoothed one."""
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -1,6 +1,7 @@
 """What both daemons that relay share: effects, signals, calls to the store."""
 
 import itertools
+import signal
 import threading
 import time
 import typing
@@ -10,9 +11,11 @@
 from egretjunction import metrics
 from egretjunction import store
 from egretjunction.decisions import relay_effects as effects
+from egretjunction.relay import _loop
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
+TICK_SECONDS = 0.025
 RETRY_SECONDS = 0.4  # an outage of the store ends at most this long before a call
 Logger = typing.Callable[..., None]
 Work = typing.Callable[[], None]
@@ -91,6 +94,17 @@
         self._log(event.event, **event.fields)
 
 
+def attend(loop: _loop.Loop, tick: Work, drain: Work, log: Logger) -> None:
+    """Let a daemon tick, and answer the platform's signals.
+
+    :param tick: does what is due.
+    :param drain: begins the end of the process.
+    """
+    loop.on_signal(signal.SIGTERM, drain)
+    loop.on_signal(signal.SIGHUP, lambda: log('settings_unchanged'))
+    loop.every(TICK_SECONDS, tick)
+
+
 def start(work: Work, log: Logger) -> threading.Thread:
     """Begin a thread; when its work fails, log that and begin it anew."""
     thread = threading.Thread(target=_repeat, args=(work, log), daemon=True)
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -1,6 +1,5 @@
 """The agent that relays: owns the flows of the backend server beside it."""
 
-import signal
 import threading
 import time
 
@@ -19,7 +18,6 @@
 from egretjunction.relay import settings
 from egretjunction.wire import relaying
 
-TICK_SECONDS = 0.025
 DRAIN_SECONDS = 2.5  # well inside the time between the signals to end
 QUIET_SECONDS = 0.1
 
@@ -70,17 +68,10 @@
         )
         _http.Server(self._given.ready, is_ready, self._loop)
         _http.Server(self._given.announcements, self._on_announcement, self._loop)
-        shown = _http.pages(
-            {
-                '/metrics': self._figures.text,
-                '/status': self._status,
-            },
-        )
-        _http.Server(self._given.metrics, shown, self._loop)
+        shown = {'/metrics': self._figures.text, '/status': self._status}
+        _http.Server(self._given.metrics, _http.pages(shown), self._loop)
         self._register_figures()
-        self._loop.on_signal(signal.SIGTERM, self.drain)
-        self._loop.on_signal(signal.SIGHUP, self._reload)
-        self._loop.every(TICK_SECONDS, self._tick)
+        _process.attend(self._loop, self._tick, self.drain, self._log)
         self._log('agent_started', entries=str(self._given.entries))
         self._list_self()
         self._loop.run()
@@ -119,9 +110,6 @@
         self._log('agent_draining', flows=self._flows.flow_count)
         self._outlet.apply(self._flows.leave(self._clock()))
 
-    def _reload(self) -> None:
-        self._log('settings_unchanged')
-
     def _give(self, raw: bytes, token: int) -> None:
         marked = self._platform.codec.with_token(raw, token) if token else raw
         self._outbound.send(marked, self._given.backend)
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -1,7 +1,6 @@
 """The entry that relays: takes clients' packets and finds the agents that own them."""
 
 import collections
-import signal
 import time
 import typing
 
@@ -24,7 +23,6 @@
 from egretjunction.relay import settings
 from egretjunction.wire import relaying
 
-TICK_SECONDS = 0.025
 MAX_ANSWERS = 1000  # read before silence is judged; some at the most loaded
 EARLY_SECONDS = 0.6  # copies of older packets have come by then, maybe elsewhere
 MAX_EARLY_PACKETS = 512  # of clients, while configuration and agents are read
@@ -58,7 +56,6 @@
         self._flows = relay_entry.EntryFlows(
             self._members, self._routes, platform.codec, given.link_mbps
         )
-        self._is_listed = False
         self._listed_at: float | None = None
         self._early_packets: collections.deque[tuple[float, packets.Packet]] = (
             collections.deque(maxlen=MAX_EARLY_PACKETS)
@@ -94,18 +91,14 @@
         )
         is_ready = _http.readiness(self._platform.readiness_path, self._is_ready)
         _http.Server(self._given.ready, is_ready, self._loop)
-        shown = _http.pages(
-            {
-                '/metrics': self._figures.text,
-                '/status': self._status,
-                _configuration.PEER_PATH: lambda: self._configuration.document,
-            },
-        )
-        _http.Server(self._given.metrics, shown, self._loop)
+        shown = {
+            '/metrics': self._figures.text,
+            '/status': self._status,
+            _configuration.PEER_PATH: lambda: self._configuration.document,
+        }
+        _http.Server(self._given.metrics, _http.pages(shown), self._loop)
         self._register_figures()
-        self._loop.on_signal(signal.SIGTERM, self.drain)
-        self._loop.on_signal(signal.SIGHUP, self._reload)
-        self._loop.every(TICK_SECONDS, self._tick)
+        _process.attend(self._loop, self._tick, self.drain, self._log)
         self._log('entry_started', clients=str(self._given.clients))
         self._configuration.start()
         for work in (self._follow_members, self._list_self):
@@ -150,9 +143,6 @@
         self._draining_since = self._clock()
         self._log('entry_draining', flows=self._flows.flow_count)
 
-    def _reload(self) -> None:
-        self._log('settings_unchanged')
-
     def _is_informed(self) -> bool:
         return self._routes.version > 0 and self._listed_at is not None
 
@@ -198,7 +188,7 @@
     def _tick(self) -> None:
         self._agents.read(MAX_ANSWERS)
         now = self._clock()
-        late = max(float(0), now - self._ticked_at - TICK_SECONDS)
+        late = max(float(0), now - self._ticked_at - _process.TICK_SECONDS)
         self._ticked_at = now
         self._outlet.apply(self._flows.tick(now, late))
         self._configuration.heard_of(self._flows.newest_version)
--- a/src/egretjunction/relay/packets.py
+++ b/src/egretjunction/relay/packets.py
@@ -97,3 +97,12 @@
 
     def destination_of(self, key: bytes) -> addresses.Address:
         """Return the route's address and port of a flow."""
+
+
+def is_answer_to(acknowledged: int, sequence: int) -> bool:
+    """Tell whether an end acknowledges just the first packet of the other.
+
+    :param acknowledged: its acknowledgement number.
+    :param sequence: the sequence number that the other end began with.
+    """
+    return (acknowledged - sequence) % SEQUENCE_RANGE <= 1
