--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -3,6 +3,7 @@
 import typing
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_announcing
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_flows
 from egretjunction.decisions import relay_server
@@ -10,10 +11,8 @@
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
-HALF_OPEN_FLOW_SECONDS = 1.4  # clients then give up on an unanswered first packet
 PROBE_TIMEOUT_SECONDS = 0.03  # servers bounce packets of unknown flows within 1 ms
 ENDED_FLOW_SECONDS = 3.0  # keeps the record of an ended flow for its late packets
-IDLE_FLOW_SECONDS = 75.0  # flows last at most 60 s and are idle for at most 15 s
 ENTRY_EXPIRY_SECONDS = 10.0  # silent entries then get no more status messages
 MAX_FLOWS = 20_000
 
@@ -25,13 +24,19 @@
 
     :param server: state of the backend server.
     :param codec: reads packets that entries forward.
+    :param max_flow_seconds: age from which a flow may be dropped.
+    :param announcer: makes the agent known to entries.
     """
 
     def __init__(
         self,
         server: relay_server.Server,
         codec: packets.Codec,
+        max_flow_seconds: float,
+        announcer: relay_announcing.Announcer,
     ) -> None:
+        self._announcer = announcer
+        self._max_flow_seconds = max_flow_seconds
         self.server = server
         self.is_shutting_down = False
         self.version = 0
@@ -40,7 +45,9 @@
         self._flow_by_key: dict[bytes, relay_flows.Flow] = {}
         self._probe_by_token: dict[int, relay_flows.Probe] = {}
         self._last_heard_by_entry: dict[addresses.Address, float] = {}
-        self._requests = relay_work.RequestTracker()
+        self._requests = relay_work.RequestTracker(
+            codec.segment_bytes, max_flow_seconds
+        )
         self._waiting_entries: set[addresses.Address] = set()
         self._last_token = 0
         self._reported_state = relaying.State.STARTING
@@ -52,10 +59,9 @@
             relaying.Ping: self._on_ping,
         }
 
-    @property
-    def active_requests(self) -> int:
+    def active_requests(self, now: float) -> int:
         """Return the number of active requests."""
-        return self._requests.active_requests
+        return self._requests.active_requests(now)
 
     @property
     def flow_count(self) -> int:
@@ -73,6 +79,7 @@
         if handler is None:
             return [effects.Log('message_unexpected', kind=type(message).__name__)]
         self._last_heard_by_entry[entry] = now
+        self._announcer.confirm(entry)
         return handler(message, entry, now)
 
     def on_server_packet(
@@ -93,13 +100,14 @@
         if flow is None and self.server.is_known_since_start:
             return emitted
         if flow is None:
-            flow = self._record_existing_flow(packet.key, now)
+            flow = _existing_flow(now)
+            self._flow_by_key[packet.key] = flow
         flow.used_at = now
         if flow.is_provisional:
             emitted += self._accept_provisional(packet.key, flow, now)
         flow.is_server_confirmed = True
         if packet.data_bytes:
-            self._requests.record_answer(packet.key)
+            self._requests.record_answer(packet)
         if packet.is_reset or packet.is_last:
             self._mark_ended(packet.key, flow, now)
         return emitted + self._notify_waiting_entries(now)
@@ -182,6 +190,11 @@
             emitted.append(effects.Log('server_lost', server=self.server.name))
             emitted += self._reset_all('server_lost')
         self._remove_expired(now)
+        for entry in self._announcer.pop_due(now):
+            announcement = self._announcer.announcement(
+                self.server.service, self.status(now)
+            )
+            emitted.append(effects.Send(entry, announcement))
         emitted += self._notify_waiting_entries(now)
         if self.state(now) != self._reported_state:
             emitted += self.broadcast_status(now)
@@ -205,18 +218,20 @@
             self.server.is_known_since_start or self.server.is_gone,
         )
 
-    def broadcast_status(
-        self,
-        now: float,
-        new_entries: typing.Iterable[addresses.Address] = (),
-    ) -> list[effects.Effect]:
-        """Send the status to every entry that was active recently.
+    def announce(
+        self, entries: typing.Collection[addresses.Address], now: float
+    ) -> None:
+        """Announce this agent to entries at the next tick, and until they answer.
 
+        :param entries: entries listed by the store, which may not know this agent.
         :param now: the time in seconds.
-        :param new_entries: entries listed by the store, which may not know this agent.
         """
-        for new_entry in new_entries:
-            self._last_heard_by_entry.setdefault(new_entry, now)
+        for listed_entry in entries:
+            self._last_heard_by_entry.setdefault(listed_entry, now)
+        self._announcer.add(entries)
+
+    def broadcast_status(self, now: float) -> list[effects.Effect]:
+        """Send the status to every entry that was active recently."""
         self._reported_state = self.state(now)
         pong = relaying.Pong(self._service_tag, self.status(now))
         return [effects.Send(entry, pong) for entry in self._last_heard_by_entry]
@@ -263,10 +278,11 @@
         flow.first_sequence = packet.sequence
         flow.entry = entry
         flow.token = offer.token
-        self._requests.reserve(packet.key, now)
+        timeout_seconds = offer.timeout_ms / effects.MILLISECONDS_PER_SECOND
+        self._requests.reserve(packet.key, timeout_seconds, now)
         self.server.record_sent(now)
         token = self._add_probe(
-            packet, entry, offer.token, now + HALF_OPEN_FLOW_SECONDS
+            packet, entry, offer.token, now + self._codec.opening.timeout_seconds
         )
         return [effects.ToServer(offer.packet, token)]
 
@@ -483,18 +499,10 @@
         raw = self._codec.restore_bounced(packet.raw)
         return [effects.Send(flow.entry, relaying.Returned(raw, self.status(now)))]
 
-    def _record_existing_flow(self, key: bytes, now: float) -> relay_flows.Flow:
-        """Record a flow that the server held before this process started."""
-        flow = relay_flows.Flow(now)
-        flow.is_open = True
-        flow.is_server_confirmed = True
-        self._flow_by_key[key] = flow
-        return flow
-
     def _mark_ended(self, key: bytes, flow: relay_flows.Flow, now: float) -> None:
         if flow.ended_at is None:
             flow.ended_at = now
-        self._requests.record_answer(key)
+        self._requests.finish(key)
 
     def _remove_flow(self, key: bytes) -> None:
         self._flow_by_key.pop(key, None)
@@ -517,15 +525,24 @@
                 now - flow.ended_at > ENDED_FLOW_SECONDS
             )
             is_abandoned = (
-                not flow.is_open and now - flow.used_at > HALF_OPEN_FLOW_SECONDS
+                not flow.is_open
+                and now - flow.used_at > self._codec.opening.timeout_seconds
             )
-            if is_ended or is_abandoned or now - flow.used_at > IDLE_FLOW_SECONDS:
+            if is_ended or is_abandoned or now - flow.used_at > self._max_flow_seconds:
                 self._remove_flow(key)
         for entry, heard_at in list(self._last_heard_by_entry.items()):
             if now - heard_at > ENTRY_EXPIRY_SECONDS:
                 self._last_heard_by_entry.pop(entry)
 
 
+def _existing_flow(now: float) -> relay_flows.Flow:
+    """Return the record of a flow that the server held before this process started."""
+    flow = relay_flows.Flow(now)
+    flow.is_open = True
+    flow.is_server_confirmed = True
+    return flow
+
+
 def _is_open_at_server(flow: relay_flows.Flow | None) -> bool:
     """Tell whether the client has a flow open at this agent's server."""
     return flow is not None and flow.is_open and not flow.is_provisional
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -16,7 +16,6 @@
 REOFFER_INTERVAL_SECONDS = 0.05  # between offers of waiting first packets
 SEARCH_ROUND_SECONDS = 0.08  # an agent's probe of its server, plus a round trip
 MAX_SEARCH_SECONDS = 1.0
-IDLE_FLOW_SECONDS = 75.0  # flows last at most 60 s and are idle for at most 15 s
 EARLY_PACKET_SECONDS = 0.02  # answers are late by at most the latency between domains
 MAX_QUEUED_PACKETS = 32  # per flow; covers both of its windows
 MAX_MEMBERS_PER_ROUND = 64  # agents asked at once in a search
@@ -33,6 +32,7 @@
     :param routes: the routes in force.
     :param codec: reads packets and derives the route's address from a flow's key.
     :param link_mbps: capacity of the entry's link in megabits per second.
+    :param max_flow_seconds: age from which a flow may be dropped.
     """
 
     def __init__(
@@ -41,13 +41,16 @@
         routes: relay_routes.Routes,
         codec: packets.Codec,
         link_mbps: float,
+        max_flow_seconds: float,
     ) -> None:
+        self._max_flow_seconds = max_flow_seconds
         self.members = members
         self.routes = routes
         self.newest_version = 0
         self._codec = codec
         self._flow_by_key: dict[bytes, relay_pending.Flow] = {}
         self._offer_by_token: dict[int, relay_pending.Offer] = {}
+        self._waiting_offers = relay_waiting.WaitingOffers()
         self._search_by_token: dict[int, relay_pending.Search] = {}
         self._question_queue = relay_questions.QuestionQueue(link_mbps)
         self._token_by_key: dict[bytes, int] = {}
@@ -93,6 +96,7 @@
             return self._on_unknown_flow(packet, now)
         if packet.is_reset:
             self._flow_by_key.pop(packet.key)
+        owner.used_at = now
         return [effects.Send(flow.owner, relaying.Deliver(packet.raw))]
 
     def on_message(
@@ -102,6 +106,8 @@
         now: float,
     ) -> list[effects.Effect]:
         """Handle a message from an agent."""
+        if isinstance(message, relaying.Announce):
+            return self._on_announce(message, agent, now)
         member = self.members.member_by_address.get(agent)
         handler = self._handler_by_type.get(type(message))
         if handler is None:
@@ -124,6 +130,30 @@
         )
         return [event, *emitted]
 
+    def _on_announce(
+        self,
+        announcement: relaying.Announce,
+        agent: addresses.Address,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Add an agent that has just started, before the store's listing is read."""
+        member = relay_members.Member(
+            announcement.name,
+            announcement.service,
+            announcement.domain,
+            addresses.Address(*agent),
+        )
+        emitted: list[effects.Effect] = []
+        if self.members.add_or_update(member) is not None:
+            event = effects.Log(
+                'member_announced', member=member.name, service=member.service
+            )
+            emitted.append(event)
+        pong = relaying.Pong(
+            relaying.compute_service_tag(announcement.service), announcement.status
+        )
+        return emitted + self.on_message(pong, member.address, now)
+
     def tick(self, now: float, stalled_seconds: float = 0) -> list[effects.Effect]:
         """Run all timers that are due.
 
@@ -170,11 +200,12 @@
         destination = self._codec.destination_of(packet.key)
         route = self.routes.route_at(destination)
         if route is None:
-            return [self._reset_flow(packet, 'no_route')]
+            return [_reset_flow(packet, 'no_route')]
         if len(self._token_by_key) >= MAX_PENDING:
-            return [self._reset_flow(packet, 'too_many_pending')]
+            return [_reset_flow(packet, 'too_many_pending')]
         service = relay_routes.choose_service(route, packet.key)
-        offer = relay_pending.Offer(packet, service, route, now)
+        opening = self._codec.opening
+        offer = relay_pending.Offer(packet, service, route, opening, now)
         token = self._next_token(packet.key)
         self._offer_by_token[token] = offer
         return self._advance_offer(token, offer, now)
@@ -191,7 +222,7 @@
             return self._handle_early_packets(offer.early_packets, now)
         if relay_waiting.is_expired(offer, now):
             self._end_offer(token, offer)
-            return [self._reset_flow(offer.packet, 'nobody_took_it')]
+            return [_reset_flow(offer.packet, 'nobody_took_it')]
         member = self._next_member(offer, now)
         if member is None and not offer.is_final:
             offer.is_final = True
@@ -208,7 +239,7 @@
         )
         offer.tried.clear()
         offer.due_at = relay_waiting.expires_at(offer)
-        offer.is_waiting = True
+        self._waiting_offers.add(token, offer)
         return [event]
 
     def _next_member(
@@ -241,9 +272,10 @@
         member: relay_members.Member,
         now: float,
     ) -> effects.Send:
-        offer.is_waiting = False
+        self._waiting_offers.remove(offer)
         offer.due_at = now + OFFER_TIMEOUT_SECONDS
         offer.tried.add(member.name)
+        member.used_at = now
         member.record_request(now)
         member.offered_flows += 1
         message = relaying.Offer(
@@ -251,6 +283,7 @@
             relaying.compute_service_tag(offer.service),
             offer.is_final,
             offer.packet.raw,
+            round(offer.request_seconds * effects.MILLISECONDS_PER_SECOND),
         )
         return effects.Send(member.address, message)
 
@@ -265,23 +298,11 @@
     ) -> list[effects.Effect]:
         """Offer waiting first packets to a member as long as it has capacity."""
         emitted: list[effects.Effect] = []
-        if (
-            not self._offer_by_token
-            or member.remaining_capacity() <= 0
-            or not member.accepts_flows(now)
-        ):
-            return emitted
-        token_by_offer = {
-            offer: token
-            for token, offer in self._offer_by_token.items()
-            if offer.is_waiting and offer.service == member.service
-        }
-        while token_by_offer and member.remaining_capacity() > 0:
-            next_offer = relay_waiting.select_next(token_by_offer, now)
-            offer = typing.cast('relay_pending.Offer', next_offer)
-            emitted.append(
-                self._send_offer(token_by_offer.pop(offer), offer, member, now)
-            )
+        while member.remaining_capacity() > 0 and member.accepts_flows(now):
+            waiting = self._waiting_offers.next_of(member.service, now)
+            if waiting is None:
+                return emitted
+            emitted.append(self._send_offer(*waiting, member, now))
         return emitted
 
     def _on_unknown_flow(
@@ -331,7 +352,7 @@
         destination = self._codec.destination_of(packet.key)
         services = self.routes.known_services(destination)
         if not services or self.routes.route_at(destination) is None:
-            return [self._reset_flow(packet, 'no_route')]
+            return [_reset_flow(packet, 'no_route')]
         if len(self._token_by_key) >= MAX_PENDING:
             return []
         search = relay_pending.Search(packet.key, services, now)
@@ -347,6 +368,12 @@
         search: relay_pending.Search,
         now: float,
     ) -> list[effects.Effect]:
+        """Ask the next members, those of the own failure domain first.
+
+        Flows are placed in the own domain unless its servers are full, so that most
+        searches send nothing to other domains when the routers move flows to other
+        entries of the domain.
+        """
         if now - search.started_at > MAX_SEARCH_SECONDS:
             self._end_search(token, search)
             return [effects.Log('search_failed', flow=search.key.hex())]
@@ -357,10 +384,11 @@
         ]
         if not candidates:
             self._end_search(token, search)
-            return [self._reset_flow(search.queue[-1], 'nobody_holds_it')]
+            return [_reset_flow(search.queue[-1], 'nobody_holds_it')]
         search.due_at = now + SEARCH_ROUND_SECONDS
         unasked = [member for member in candidates if member.name not in search.asked]
-        for member in (unasked or candidates)[:MAX_MEMBERS_PER_ROUND]:
+        near = [member for member in unasked if self.members.is_near(member)]
+        for member in (near or unasked or candidates)[:MAX_MEMBERS_PER_ROUND]:
             search.asked.add(member.name)
             self._add_question(token, search, member)
         return list(self._send_due_questions(now))
@@ -537,15 +565,13 @@
             if owner is not None:
                 flow.owner = owner
 
-    def _reset_flow(self, packet: packets.Packet, reason: str) -> effects.Reset:
-        return effects.Reset(packet.key, packet.acknowledged, reason)
-
     def _next_token(self, key: bytes) -> int:
         self._last_token = self._last_token % (packets.SEQUENCE_RANGE - 1) + 1
         self._token_by_key[key] = self._last_token
         return self._last_token
 
     def _end_offer(self, token: int, offer: relay_pending.Offer) -> None:
+        self._waiting_offers.remove(offer)
         self._offer_by_token.pop(token, None)
         self._token_by_key.pop(offer.key, None)
 
@@ -555,8 +581,12 @@
 
     def _remove_expired(self, now: float) -> None:
         for key, flow in list(self._flow_by_key.items()):
-            if now - flow.used_at > IDLE_FLOW_SECONDS:
+            if now - flow.used_at > self._max_flow_seconds:
                 self._flow_by_key.pop(key)
         for member in self.members.expired(now):
             if not member.is_listed:
                 self.members.remove(member)
+
+
+def _reset_flow(packet: packets.Packet, reason: str) -> effects.Reset:
+    return effects.Reset(packet.key, packet.acknowledged, reason)
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -18,6 +18,13 @@
 UNREACHABLE_AFTER_SECONDS = 0.5
 DEAD_AFTER_SECONDS = 1.5  # longer than a process pauses when it exceeds its CPU quota
 EXPIRE_AFTER_SECONDS = 30.0
+# Members of other failure domains that are not in use are pinged less often, so that
+# control traffic between domains does not grow with the product of entries and agents.
+FAR_PINGS_PER_SECOND = 20.0
+MAX_FAR_PING_SECONDS = 8.0  # agents send changes of state to entries heard of for 10 s
+FAR_SILENT_PING_SECONDS = 1.0
+USED_SECONDS = 2.0  # a member counts as in use for this long after the last packet
+MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
 OTHER_DOMAIN_PENALTY = 0.8  # share of its slots by which a near server may be fuller
 COLD_PENALTY = 0.5  # share of slots; requests of a cold server take 1.6 times as long
 REQUESTS_PER_FLOW = 0.02  # average number of active requests of an open flow
@@ -27,8 +34,9 @@
     """One agent as an entry sees it.
 
     ``unanswered_since`` is the time of the oldest request without an answer,
-    ``offered_work`` the number of flows offered since the last status, and
-    ``is_listed`` tells whether the store holds the agent's key.
+    ``offered_flows`` the number of flows offered since the last status, ``used_at``
+    the time of the last packet sent to it, and ``is_listed`` tells whether the store
+    holds the agent's key.
 
     :param name: name of the agent.
     :param service: service of its backend server.
@@ -47,6 +55,7 @@
         'service',
         'status',
         'unanswered_since',
+        'used_at',
     )
 
     def __init__(
@@ -64,6 +73,7 @@
         self.unanswered_since = math.inf
         self.last_status_at = -math.inf
         self.pinged_at = -math.inf
+        self.used_at = -math.inf
         self.offered_flows = 0
         self.status = relaying.Status(relaying.State.STARTING, 0, 0, 1, 0)
 
@@ -126,13 +136,17 @@
         self._domain = domain
         self.member_by_name: dict[str, Member] = {}
         self.member_by_address: dict[addresses.Address, Member] = {}
+        self._probed_by_service: dict[str, list[Member]] | None = None
+        self._probed_names: set[str] = set()
 
     def add_or_update(self, member: Member) -> Member | None:
         """Add or update a listed member; return it if it is new or has moved."""
         existing = self.member_by_name.get(member.name)
         if existing is not None and existing.address == member.address:
             existing.is_listed = True
-            existing.service = member.service
+            if existing.service != member.service:
+                existing.service = member.service
+                self._probed_by_service = None
             return None
         if existing is not None:
             self.remove(existing)
@@ -141,27 +155,42 @@
             self.remove(replaced)
         self.member_by_name[member.name] = member
         self.member_by_address[member.address] = member
+        self._probed_by_service = None
         return member
 
-    def mark_unlisted(self, name: str, now: float) -> Member | None:
+    def mark_unlisted(self, name: str) -> Member | None:
         """Record that the store no longer holds the key of a member."""
         member = self.member_by_name.get(name)
         if member is not None and member.is_listed:
             member.is_listed = False
         return member
 
-    def mark_others_unlisted(self, names: typing.Container[str], now: float) -> None:
-        """Mark the members that a complete listing does not contain as unlisted."""
-        for name in self.member_by_name:
-            if name not in names:
-                self.mark_unlisted(name, now)
+    def mark_others_unlisted(
+        self, names: typing.Container[str], now: float, *, is_stale: bool = False
+    ) -> None:
+        """Mark the members that a complete listing does not contain as unlisted.
+
+        :param names: names in the listing.
+        :param now: the time in seconds.
+        :param is_stale: whether the listing may be seconds old; then a member that
+            answers may have been listed since, and is not marked.
+        """
+        for name, member in self.member_by_name.items():
+            is_certain = not is_stale or member.silent_seconds(now) > LOST_AFTER_SECONDS
+            if name not in names and is_certain:
+                self.mark_unlisted(name)
 
     def remove(self, member: Member) -> None:
         """Remove a member."""
         self.member_by_name.pop(member.name, None)
+        self._probed_by_service = None
         if self.member_by_address.get(member.address) is member:
             self.member_by_address.pop(member.address)
 
+    def is_near(self, member: Member) -> bool:
+        """Tell whether a member is in the entry's own failure domain."""
+        return member.domain == self._domain
+
     def serving(self, services: typing.Container[str]) -> list[Member]:
         """Return the members of the given services."""
         return [
@@ -215,12 +244,51 @@
         Such an entry reports itself as not ready, so that routers use entries that
         may still reach the agents.
         """
-        reached_by_service: dict[str, bool] = {}
-        for member in self.member_by_name.values():
-            is_reached = member.silent_seconds(now) <= UNREACHABLE_AFTER_SECONDS
-            was_reached = reached_by_service.get(member.service, False)
-            reached_by_service[member.service] = was_reached or is_reached
-        return not all(reached_by_service.values())
+        return any(
+            not self._is_reachable(service, now) for service in self._probed_members()
+        )
+
+    def _is_reachable(self, service: str, now: float) -> bool:
+        """Tell whether any agent of a service answers this entry."""
+        probed = self._probed_members()[service]
+        if any(
+            member.silent_seconds(now) <= UNREACHABLE_AFTER_SECONDS for member in probed
+        ):
+            return True
+        silent_since = min(member.unanswered_since for member in probed)
+        return any(
+            member.last_status_at > silent_since
+            for member in self.member_by_name.values()
+            if member.service == service
+        )
+
+    def _probed_members(self) -> dict[str, list[Member]]:
+        """Return the members that are pinged at the short interval, by service.
+
+        They are those of the own failure domain and, where a service has few of
+        these, some of other domains.
+        """
+        if self._probed_by_service is None:
+            self._probed_by_service = self._choose_probed()
+            self._probed_names = {
+                member.name
+                for members in self._probed_by_service.values()
+                for member in members
+            }
+        return self._probed_by_service
+
+    def _choose_probed(self) -> dict[str, list[Member]]:
+        own_domain = self._domain.encode()
+
+        def rank(member: Member) -> tuple[bool, int]:
+            return not self.is_near(member), _tie_breaker(member, own_domain)
+
+        members_by_service: dict[str, list[Member]] = {}
+        for ranked in sorted(self.member_by_name.values(), key=rank):
+            probed = members_by_service.setdefault(ranked.service, [])
+            if self.is_near(ranked) or len(probed) < MIN_NEAR_MEMBERS:
+                probed.append(ranked)
+        return members_by_service
 
     def discount_pause(self, seconds: float) -> None:
         """Exclude a pause of this process from the silence of all members."""
@@ -229,11 +297,32 @@
 
     def due_for_ping(self, now: float) -> list[Member]:
         """Return the members that are due for a ping."""
-        return [
-            member
-            for member in self.member_by_name.values()
-            if now - member.pinged_at >= _ping_interval(member, now)
-        ]
+        probed_by_service = self._probed_members()
+        silent_services = {
+            service
+            for service, members in probed_by_service.items()
+            if all(member.is_suspect(now) for member in members)
+        }
+        far_count = len(self.member_by_name) - len(self._probed_names)
+        far_interval = min(
+            MAX_FAR_PING_SECONDS,
+            max(PING_INTERVAL_SECONDS, far_count / FAR_PINGS_PER_SECOND),
+        )
+
+        def is_due(member: Member) -> bool:
+            is_probed = (
+                member.name in self._probed_names
+                or now - member.used_at < USED_SECONDS
+                or member.service in silent_services
+            )
+            interval = (
+                _ping_interval(member, now)
+                if is_probed
+                else _far_ping_interval(member, now, far_interval)
+            )
+            return now - member.pinged_at >= interval
+
+        return [member for member in self.member_by_name.values() if is_due(member)]
 
     def expired(self, now: float) -> list[Member]:
         """Return the members whose silence exceeds the retention time."""
@@ -259,3 +348,11 @@
     if math.isinf(member.unanswered_since) and not math.isinf(member.last_status_at):
         return PING_INTERVAL_SECONDS
     return SILENT_PING_INTERVAL_SECONDS
+
+
+def _far_ping_interval(member: Member, now: float, interval: float) -> float:
+    if member.silent_seconds(now) > LOST_AFTER_SECONDS:
+        return max(LOST_PING_INTERVAL_SECONDS, interval)
+    if math.isinf(member.unanswered_since) and not math.isinf(member.last_status_at):
+        return interval
+    return min(FAR_SILENT_PING_SECONDS, interval)
--- a/src/egretjunction/decisions/relay_pending.py
+++ b/src/egretjunction/decisions/relay_pending.py
@@ -4,9 +4,6 @@
 from egretjunction.decisions import relay_routes
 from egretjunction.relay import packets
 
-SEND_OFFSETS_SECONDS = (0, 0.2, 0.6)  # first packet, then its retransmissions
-ATTEMPT_TIMEOUT_SECONDS = 1.4  # clients then give up on an unanswered first packet
-
 
 class Flow:
     """A flow and the agent that receives its packets.
@@ -34,10 +31,13 @@
     ``tried`` holds the names of the members that it was offered to, and
     ``early_packets`` later packets of the client that arrived before an answer.
     ``is_final`` is set once all members are full, so that one may queue the flow.
+    ``opening_seconds`` is how long the client waits for its flow to open, and
+    ``request_seconds`` how long for the answer to its request.
 
     :param packet: the first packet.
     :param service: service chosen for the flow.
     :param route: route of the flow.
+    :param opening: how clients open a flow.
     :param now: the time in seconds.
     """
 
@@ -46,15 +46,15 @@
         'early_packets',
         'is_final',
         'is_waiting',
-        'key',
         'last_seen_at',
+        'opening_seconds',
         'packet',
         'priority',
+        'request_seconds',
         'route',
         'service',
         'started_at',
         'target_seconds',
-        'timeout_seconds',
         'tried',
     )
 
@@ -63,23 +63,29 @@
         packet: packets.Packet,
         service: str,
         route: relay_routes.Route,
+        opening: packets.Opening,
         now: float,
     ) -> None:
         self.packet = packet
-        self.key = packet.key
         self.service = service
         self.route = route.name
         self.priority = route.priority
         self.target_seconds = route.target_seconds
-        self.timeout_seconds = min(route.timeout_seconds, ATTEMPT_TIMEOUT_SECONDS)
+        self.opening_seconds = min(route.timeout_seconds, opening.timeout_seconds)
+        self.request_seconds = route.timeout_seconds
         self.tried: set[str] = set()
         self.early_packets: list[packets.Packet] = []
         self.is_final = False
         self.is_waiting = False
-        self.started_at = now - _seconds_since_first_sent(packet)
+        self.started_at = opening.started_at(packet, now)
         self.last_seen_at = now
         self.due_at = now
 
+    @property
+    def key(self) -> bytes:
+        """Return the key of the flow."""
+        return self.packet.key
+
 
 class Search:
     """A search for the owner of a flow that this entry has no record of.
@@ -115,9 +121,3 @@
         self.denied: set[str] = set()
         self.started_at = now
         self.due_at = now
-
-
-def _seconds_since_first_sent(packet: packets.Packet) -> float:
-    """Return how long ago the client sent the original of a first packet."""
-    retransmissions = min(packet.acknowledged, len(SEND_OFFSETS_SECONDS) - 1)
-    return SEND_OFFSETS_SECONDS[retransmissions]
--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -6,8 +6,9 @@
 
 from egretjunction import addresses
 
-DEFAULT_TARGET_SECONDS = 0.2
-DEFAULT_TIMEOUT_SECONDS = 1.0
+# Bounds of a route that no accepted version of the configuration has stated.
+FALLBACK_TARGET_SECONDS = 0.2
+FALLBACK_TIMEOUT_SECONDS = 1.0
 
 
 class Route:
@@ -18,8 +19,8 @@
     :param weight_by_service: relative share of new flows for each service; the
         weights need not add up to a fixed total.
     :param priority: priority of its requests; 0 is the most urgent.
-    :param target_seconds: target latency; a later answer counts as late.
-    :param timeout_seconds: request timeout; a later answer is useless.
+    :param target_seconds: target latency; a later answer counts as late. 0 if unknown.
+    :param timeout_seconds: request timeout; a later answer is useless. 0 if unknown.
     """
 
     __slots__ = (
@@ -38,8 +39,8 @@
         weight_by_service: dict[str, int],
         *,
         priority: int = 0,
-        target_seconds: float = DEFAULT_TARGET_SECONDS,
-        timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS,
+        target_seconds: float = 0,
+        timeout_seconds: float = 0,
     ) -> None:
         self.priority = priority
         self.target_seconds = target_seconds
@@ -54,14 +55,45 @@
 
     :param version: version number, increasing with each change.
     :param routes: the routes of that version.
+    :param problems: bounds of routes that are missing or not allowed, in words.
     """
 
-    __slots__ = ('route_by_address', 'version')
+    __slots__ = ('problems', 'route_by_address', 'version')
 
-    def __init__(self, version: int, routes: typing.Iterable[Route]) -> None:
+    def __init__(
+        self,
+        version: int,
+        routes: typing.Iterable[Route],
+        problems: typing.Sequence[str] = (),
+    ) -> None:
         self.version = version
+        self.problems = problems
         self.route_by_address = {route.address: route for route in routes}
 
+    def complete_bounds(self, previous: 'RouteTable') -> None:
+        """Take unknown bounds of routes from the previous version.
+
+        A route without one there gets the longest bound of this version, so that no
+        request is given up too early.
+        """
+        routes = self.route_by_address.values()
+        longest_target = max((route.target_seconds for route in routes), default=0)
+        longest_timeout = max((route.timeout_seconds for route in routes), default=0)
+        for address, route in self.route_by_address.items():
+            before = previous.route_by_address.get(address, route)
+            route.target_seconds = (
+                route.target_seconds
+                or before.target_seconds
+                or longest_target
+                or FALLBACK_TARGET_SECONDS
+            )
+            route.timeout_seconds = (
+                route.timeout_seconds
+                or before.timeout_seconds
+                or longest_timeout
+                or FALLBACK_TIMEOUT_SECONDS
+            )
+
 
 class Routes:
     """The routes in force, which are never replaced by those of an older version."""
@@ -86,6 +118,7 @@
         """Put a route table into force if it is newer; return whether it was."""
         if table.version <= self._table.version:
             return False
+        table.complete_bounds(self._table)
         self._table = table
         for address, route in table.route_by_address.items():
             services = self._services_by_address.setdefault(address, [])
--- a/src/egretjunction/decisions/relay_waiting.py
+++ b/src/egretjunction/decisions/relay_waiting.py
@@ -7,6 +7,8 @@
 
 import typing
 
+from egretjunction.decisions import relay_pending
+
 MAX_WAIT_SHARE = 0.5  # of the target latency; the request itself needs the rest
 MIN_REQUEST_SECONDS = 0.03  # a request with less time left cannot be answered
 
@@ -18,14 +20,14 @@
     :param last_seen_at: time at which it or a retransmission of it last arrived.
     :param priority: priority of the request; 0 is the most urgent.
     :param target_seconds: target latency; a later answer counts as late.
-    :param timeout_seconds: request timeout; a later answer is useless.
+    :param opening_seconds: how long the client waits for its flow to open.
     """
 
     started_at: float
     last_seen_at: float
     priority: int
     target_seconds: float
-    timeout_seconds: float
+    opening_seconds: float
 
 
 def can_meet_target(first_packet: WaitingFirstPacket, now: float) -> bool:
@@ -34,13 +36,46 @@
 
 
 def is_expired(first_packet: WaitingFirstPacket, now: float) -> bool:
-    """Tell whether a request can no longer be answered before its deadline."""
+    """Tell whether the client no longer waits for its flow to open."""
     return now >= expires_at(first_packet)
 
 
 def expires_at(first_packet: WaitingFirstPacket) -> float:
-    """Return the time from which a request can no longer meet its deadline."""
-    return first_packet.started_at + first_packet.timeout_seconds - MIN_REQUEST_SECONDS
+    """Return the time from which a flow cannot be opened before its client gives up."""
+    return first_packet.started_at + first_packet.opening_seconds - MIN_REQUEST_SECONDS
+
+
+class WaitingOffers:
+    """First packets that wait for a free slot, by service.
+
+    Load pattern: all servers of a service are full, and every message of any agent may
+    free a slot. A message then costs nothing for the services that nothing waits for.
+    """
+
+    __slots__ = ('_token_by_offer_by_service',)
+
+    def __init__(self) -> None:
+        self._token_by_offer_by_service: dict[str, dict[relay_pending.Offer, int]] = {}
+
+    def add(self, token: int, offer: relay_pending.Offer) -> None:
+        """Let a first packet wait."""
+        offer.is_waiting = True
+        self._token_by_offer_by_service.setdefault(offer.service, {})[offer] = token
+
+    def remove(self, offer: relay_pending.Offer) -> None:
+        """Remove a first packet that is offered again, or was given up."""
+        offer.is_waiting = False
+        self._token_by_offer_by_service.get(offer.service, {}).pop(offer, None)
+
+    def next_of(
+        self, service: str, now: float
+    ) -> tuple[int, relay_pending.Offer] | None:
+        """Return the token and the first packet to offer next, or None."""
+        token_by_offer = self._token_by_offer_by_service.get(service)
+        if not token_by_offer:
+            return None
+        offer = typing.cast('relay_pending.Offer', select_next(token_by_offer, now))
+        return token_by_offer[offer], offer
 
 
 def select_next(
--- a/src/egretjunction/decisions/relay_work.py
+++ b/src/egretjunction/decisions/relay_work.py
@@ -1,31 +1,94 @@
-"""Load of a backend server, derived from the packets of its flows."""
+"""Load of a backend server, derived from the packets of its flows.
+
+A request counts as load from its first data until the last packet of its answer. An
+answer of several packets, such as a download, keeps its slot until it has been sent.
+A request without an answer counts until the deadline of its route.
+"""
+
+import heapq
 
 from egretjunction.relay import packets
 
-RESERVATION_SECONDS = 0.06  # a new flow sends its request right after the handshake
-MAX_REQUEST_SECONDS = 1.0  # deadlines are 1 s; an unanswered request then ends
 QUEUE_SHARE = 0.5  # of the slots; covers the delay between an answer and an offer
+FIRST_RESERVATION_SECONDS = 0.06  # until the first handshake has been measured
+MAX_RESERVATION_SECONDS = 0.5
+HANDSHAKE_GAIN = 0.125  # weight of the newest handshake in the smoothed duration
+RESERVED_HANDSHAKES = 4.0  # smoothed durations until a flow without a request is idle
 
 
-class RequestTracker:
-    """Active requests of one backend server, and flows whose request is expected."""
+class HandshakeTimer:
+    """Smoothed time between a server's acceptance and the client's first request."""
 
-    __slots__ = ('_active_since_by_key', '_data_end_by_key', '_reserved_since_by_key')
+    __slots__ = ('_smoothed_seconds',)
 
     def __init__(self) -> None:
+        self._smoothed_seconds: float | None = None
+
+    def record(self, seconds: float) -> None:
+        """Record the duration of one handshake."""
+        previous = seconds if self._smoothed_seconds is None else self._smoothed_seconds
+        self._smoothed_seconds = previous + HANDSHAKE_GAIN * (seconds - previous)
+
+    @property
+    def reservation_seconds(self) -> float:
+        """Return how long a slot is reserved for the first request of a flow."""
+        if self._smoothed_seconds is None:
+            return FIRST_RESERVATION_SECONDS
+        seconds = max(
+            FIRST_RESERVATION_SECONDS, self._smoothed_seconds * RESERVED_HANDSHAKES
+        )
+        return min(MAX_RESERVATION_SECONDS, seconds)
+
+
+class RequestTracker:
+    """Active requests of one backend server, and flows whose request is expected.
+
+    :param segment_bytes: data bytes of a packet that is followed by more of the same
+        answer.
+    :param unknown_timeout_seconds: deadline of a request whose route is not known,
+        until one of another request is.
+    """
+
+    __slots__ = (
+        '_data_end_by_key',
+        '_expiry_by_key',
+        '_expiry_queue',
+        '_handshakes',
+        '_longest_timeout',
+        '_reserved_since_by_key',
+        '_segment_bytes',
+        '_timeout_by_key',
+        '_unknown_timeout',
+    )
+
+    def __init__(self, segment_bytes: int, unknown_timeout_seconds: float) -> None:
+        self._segment_bytes = segment_bytes
+        self._unknown_timeout = unknown_timeout_seconds
+        self._longest_timeout = float(0)
+        self._handshakes = HandshakeTimer()
+        self._timeout_by_key: dict[bytes, float] = {}
         self._reserved_since_by_key: dict[bytes, float] = {}
-        self._active_since_by_key: dict[bytes, float] = {}
+        self._expiry_by_key: dict[bytes, float] = {}
+        self._expiry_queue: list[tuple[float, bytes]] = []
         self._data_end_by_key: dict[bytes, int] = {}
 
-    @property
-    def active_requests(self) -> int:
+    def active_requests(self, now: float) -> int:
         """Return the number of active requests."""
-        return len(self._active_since_by_key)
+        self._expire(now)
+        return len(self._expiry_by_key)
+
+    def reserve(self, key: bytes, timeout_seconds: float, now: float) -> None:
+        """Reserve a slot for the first request of a flow.
 
-    def reserve(self, key: bytes, now: float) -> None:
-        """Reserve a slot for the first request of a flow."""
+        :param key: the flow's key.
+        :param timeout_seconds: request timeout of the flow's route, 0 if unknown.
+        :param now: the time in seconds.
+        """
         self._reserved_since_by_key.pop(key, None)
         self._reserved_since_by_key[key] = now
+        if timeout_seconds > 0:
+            self._timeout_by_key[key] = timeout_seconds
+            self._longest_timeout = max(self._longest_timeout, timeout_seconds)
 
     def record_sent(self, packet: packets.Packet, now: float) -> None:
         """Count the request in a client packet that is sent to the server.
@@ -44,31 +107,44 @@
         ):
             return
         self._data_end_by_key[packet.key] = data_end
-        self._reserved_since_by_key.pop(packet.key, None)
-        self._active_since_by_key.pop(packet.key, None)
-        self._active_since_by_key[packet.key] = now
+        reserved_since = self._reserved_since_by_key.pop(packet.key, None)
+        if reserved_since is not None:
+            self._handshakes.record(now - reserved_since)
+        expires_at = now + self._timeout_of(packet.key)
+        self._expiry_by_key[packet.key] = expires_at
+        heapq.heappush(self._expiry_queue, (expires_at, packet.key))
+
+    def record_answer(self, packet: packets.Packet) -> None:
+        """Record a server packet; a request ends with the last packet of its answer.
 
-    def record_answer(self, key: bytes) -> None:
+        A packet with less data than fits into one is the last of an answer.
+        """
+        if 0 < packet.data_bytes < self._segment_bytes:
+            self.finish(packet.key)
+
+    def finish(self, key: bytes) -> None:
         """Mark the request of a flow as finished."""
-        self._active_since_by_key.pop(key, None)
+        self._expiry_by_key.pop(key, None)
 
     def remove(self, key: bytes) -> None:
         """Remove the records of a flow."""
-        self._active_since_by_key.pop(key, None)
+        self._expiry_by_key.pop(key, None)
         self._reserved_since_by_key.pop(key, None)
         self._data_end_by_key.pop(key, None)
+        self._timeout_by_key.pop(key, None)
 
     def clear(self) -> None:
         """Remove the records of all flows."""
-        self._active_since_by_key.clear()
+        self._expiry_by_key.clear()
+        self._expiry_queue.clear()
         self._reserved_since_by_key.clear()
         self._data_end_by_key.clear()
+        self._timeout_by_key.clear()
 
     def load(self, now: float) -> int:
         """Return the number of active and expected requests."""
-        _expire(self._reserved_since_by_key, now - RESERVATION_SECONDS)
-        _expire(self._active_since_by_key, now - MAX_REQUEST_SECONDS)
-        return len(self._active_since_by_key) + len(self._reserved_since_by_key)
+        self._expire(now)
+        return len(self._expiry_by_key) + len(self._reserved_since_by_key)
 
     def has_capacity(self, slots: int, now: float, *, is_final: bool) -> bool:
         """Tell whether one more flow may be accepted.
@@ -80,10 +156,18 @@
         limit = slots * (1 + QUEUE_SHARE) if is_final else slots
         return self.load(now) < limit
 
-
-def _expire(time_by_key: dict[bytes, float], cutoff: float) -> None:
-    """Remove the keys recorded at or before a cutoff; keys are in order of time."""
-    for flow_key, recorded_at in list(time_by_key.items()):
-        if recorded_at > cutoff:
-            return
-        time_by_key.pop(flow_key)
+    def _timeout_of(self, key: bytes) -> float:
+        known_timeout = self._longest_timeout or self._unknown_timeout
+        return self._timeout_by_key.get(key, known_timeout)
+
+    def _expire(self, now: float) -> None:
+        """Remove expired reservations and requests."""
+        cutoff = now - self._handshakes.reservation_seconds
+        for key, reserved_since in list(self._reserved_since_by_key.items()):
+            if reserved_since > cutoff:
+                break  # keys are in order of time
+            self._reserved_since_by_key.pop(key)
+        while self._expiry_queue and self._expiry_queue[0][0] <= now:
+            expires_at, expired_key = heapq.heappop(self._expiry_queue)
+            if self._expiry_by_key.get(expired_key) == expires_at:
+                self._expiry_by_key.pop(expired_key)
--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -9,6 +9,7 @@
 from egretjunction import errors
 from egretjunction import store
 from egretjunction.decisions import relay_routes
+from egretjunction.decisions import relay_watching
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
 from egretjunction.relay import _process
@@ -16,7 +17,6 @@
 from egretjunction.relay import http_calls
 from egretjunction.relay import listings
 
-WATCH_SECONDS = 3.0  # longest duration of one watch call, after which it is repeated
 CATCH_UP_SECONDS = 0.3  # between attempts to read a version that peers follow
 MAX_CATCH_UP_SECONDS = 2.0  # between attempts while neither store nor peers answer
 MAX_PEERS = 3  # entries to query when the store does not answer
@@ -28,6 +28,7 @@
     """Adopts newer versions from the store or, when it does not answer, from peers.
 
     :param own_name: the name of this entry.
+    :param bound_seconds: time within which an accepted version must be in force.
     :param platform: the platform's adapter.
     :param routes: the routes in force; modified only in the loop's thread.
     :param loop: event loop of the process.
@@ -36,6 +37,7 @@
     """
 
     __slots__ = (
+        '_bound_seconds',
         '_is_behind',
         '_log',
         '_loop',
@@ -50,6 +52,7 @@
     def __init__(
         self,
         own_name: str,
+        bound_seconds: float,
         platform: adapter.Adapter,
         routes: relay_routes.Routes,
         loop: _loop.Loop,
@@ -57,6 +60,7 @@
         log: _process.Logger,
     ) -> None:
         self._own_name = own_name
+        self._bound_seconds = bound_seconds
         self._platform = platform
         self._routes = routes
         self._loop = loop
@@ -80,12 +84,17 @@
         _process.follow_prefix(
             self._platform.store,
             self._platform.configuration_key,
-            WATCH_SECONDS,
+            self._choose_watch_seconds,
             lambda listing: self._post_adoption(listing.items),
             lambda changes: self._post_adoption(changes.written),
             self._log,
         )
 
+    def _choose_watch_seconds(self) -> float:
+        return relay_watching.configuration_watch_seconds(
+            self._bound_seconds, len(self.peer_by_name), random.random()
+        )
+
     def _post_adoption(self, items: typing.Iterable[store.Item]) -> None:
         configuration_items = [
             item for item in items if item.key == self._platform.configuration_key
@@ -104,6 +113,8 @@
             self._log('configuration_malformed', source=source, error=str(error))
             return
         if self._routes.adopt(table):
+            for problem in table.problems:
+                self._log('route_bound_rejected', version=table.version, error=problem)
             self.document = item.data
             self._log(
                 'configuration_adopted',
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -13,6 +13,7 @@
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.relay import _loop
 from egretjunction.relay import packets
+from egretjunction.relay import settings
 from egretjunction.wire import relaying
 
 TICK_SECONDS = 0.025
@@ -98,17 +99,39 @@
         self._log(event.event, **event.fields)
 
 
-def install_handlers(loop: _loop.Loop, tick: Task, drain: Task, log: Logger) -> None:
+def install_handlers(loop: _loop.Loop, tick: Task, drain: Task, reload: Task) -> None:
     """Register a daemon's periodic tick and its signal handlers.
 
     :param tick: called every ``TICK_SECONDS``.
     :param drain: called on SIGTERM; starts the shutdown of the process.
+    :param reload: called on SIGHUP; reads the settings again.
     """
     loop.on_signal(signal.SIGTERM, drain)
-    loop.on_signal(signal.SIGHUP, lambda: log('settings_unchanged'))
+    loop.on_signal(signal.SIGHUP, reload)
     loop.every(TICK_SECONDS, tick)
 
 
+def reload_settings(
+    current: typing.Any, read_settings: typing.Callable[[], typing.Any], log: Logger
+) -> typing.Any:
+    """Read the settings again; return those in force.
+
+    A file with errors changes nothing: each error is logged, and the daemon goes on
+    with the settings that it has.
+
+    :param current: the settings in force.
+    :param read_settings: reads the file.
+    """
+    try:
+        reload = settings.merge_reloaded(current, read_settings())
+    except (errors.SettingsError, errors.SettingsErrors) as error:
+        for line in errors.describe(error):
+            log('settings_rejected', error=line)
+        return current
+    log('settings_reloaded', applied=reload.applied, needs_restart=reload.postponed)
+    return reload.settings
+
+
 def start(task: Task, log: Logger) -> threading.Thread:
     """Start a thread that runs a task, and runs it again after an exception."""
     thread = threading.Thread(target=_run_with_restarts, args=(task, log), daemon=True)
@@ -153,14 +176,14 @@
 def follow_prefix(
     store_client: store.Store,
     prefix: str,
-    wait_seconds: float,
+    choose_wait_seconds: typing.Callable[[], float],
     on_listing: typing.Callable[[store.Listing], None],
     on_changes: typing.Callable[[store.Changes], None],
     log: Logger,
 ) -> None:
     """Watch a prefix of the store; never returns.
 
-    :param wait_seconds: longest duration of one watch call.
+    :param choose_wait_seconds: returns the longest duration of the next watch call.
     :param on_listing: called with all items under the prefix, at first and whenever
         changes were missed.
     :param on_changes: called with later changes.
@@ -172,21 +195,27 @@
     for _ in itertools.count():
         listing = retry_until_answered(list_all, log, f'list {prefix}')
         on_listing(listing)
-        _watch_changes(
-            store_client, prefix, wait_seconds, listing.revision, on_changes, log
+        watch_changes(
+            store_client, prefix, choose_wait_seconds, listing.revision, on_changes, log
         )
 
 
-def _watch_changes(
+def watch_changes(
     store_client: store.Store,
     prefix: str,
-    wait_seconds: float,
+    choose_wait_seconds: typing.Callable[[], float],
     revision: int,
     on_changes: typing.Callable[[store.Changes], None],
     log: Logger,
 ) -> None:
+    """Watch a prefix from a revision until the store no longer keeps the changes.
+
+    :param choose_wait_seconds: returns the longest duration of the next watch call.
+    :param on_changes: called after each watch call, also without a change.
+    """
+
     def watch() -> store.Changes:
-        return store_client.watch(prefix, revision, wait_seconds)
+        return store_client.watch(prefix, revision, choose_wait_seconds())
 
     while True:
         try:
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import typing
 
 import msgspec
 
@@ -9,6 +10,7 @@
 from egretjunction import errors
 from egretjunction import metrics
 from egretjunction.decisions import relay_agent
+from egretjunction.decisions import relay_announcing
 from egretjunction.decisions import relay_server
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
@@ -18,9 +20,8 @@
 from egretjunction.relay import settings
 from egretjunction.wire import relaying
 
-# Well below the time between the SIGTERM and the SIGKILL of the platform.
-MAX_DRAIN_SECONDS = 2.5
 MIN_DRAIN_SECONDS = 0.1
+DRAIN_MARGIN_SECONDS = 1.0  # of the grace period; left for the last call to the store
 
 
 class RelayAgent:
@@ -29,6 +30,7 @@
     :param agent_settings: checked settings.
     :param platform: the platform's adapter.
     :param log: writes one event.
+    :param read_settings: reads the settings again.
     """
 
     def __init__(
@@ -36,7 +38,9 @@
         agent_settings: settings.RelayAgent,
         platform: adapter.Adapter,
         log: _process.Logger,
+        read_settings: typing.Callable[[], settings.RelayAgent],
     ) -> None:
+        self._read_settings = read_settings
         self._settings = agent_settings
         self._platform = platform
         self._log = log
@@ -44,7 +48,12 @@
         self._server = relay_server.Server(
             agent_settings.service, agent_settings.heartbeat_ms / 1000
         )
-        self._flows = relay_agent.AgentFlows(self._server, platform.codec)
+        self._flows = relay_agent.AgentFlows(
+            self._server,
+            platform.codec,
+            agent_settings.max_flow_seconds,
+            relay_announcing.Announcer(agent_settings.name, agent_settings.domain),
+        )
         self._listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
         self._loop = _loop.Loop()
@@ -76,7 +85,7 @@
             self._settings.metrics, _http.page_handler(render_by_path), self._loop
         )
         self._register_gauges()
-        _process.install_handlers(self._loop, self._tick, self.drain, self._log)
+        _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
         self._log('agent_started', entries=str(self._settings.entries))
         self._start_listing()
         self._loop.run()
@@ -87,7 +96,7 @@
     def _register_gauges(self) -> None:
         gauge = self._metrics.gauge
         gauge('flows', lambda: self._flows.flow_count)
-        gauge('requests_at_work', lambda: self._flows.active_requests)
+        gauge('requests_at_work', lambda: self._flows.active_requests(self._clock()))
         gauge(
             'datagrams_unsent',
             lambda: self._entries.dropped + self._outbound.dropped,
@@ -107,6 +116,12 @@
         }
         return msgspec.json.encode(summary)
 
+    def reload(self) -> None:
+        """Read the settings again and apply the changes that need no restart."""
+        self._settings = _process.reload_settings(
+            self._settings, self._read_settings, self._log
+        )
+
     def drain(self) -> None:
         """Accept no more flows, wait for requests in progress, then stop."""
         if self._draining_since is not None:
@@ -160,8 +175,9 @@
         if self._draining_since is None:
             return
         drained_seconds = now - self._draining_since
-        is_idle = self._server.is_gone or not self._flows.active_requests
-        if drained_seconds > MAX_DRAIN_SECONDS or (
+        is_idle = self._server.is_gone or not self._flows.active_requests(now)
+        max_drain_seconds = self._settings.grace_seconds - DRAIN_MARGIN_SECONDS
+        if drained_seconds > max_drain_seconds or (
             is_idle and drained_seconds > MIN_DRAIN_SECONDS
         ):
             self._loop.stop()
@@ -179,22 +195,27 @@
             self._settings.entries,
         )
         client = self._platform.store
-        listing = _process.retry_until_answered(
-            lambda: client.list_prefix(listings.PREFIX), self._log, 'list processes'
-        )
-        peers = [listings.read_entry(item) for item in listing.items]
-        entries = [peer.address for peer in peers if peer is not None]
-        self._loop.post(
-            lambda: self._executor.apply(
-                self._flows.broadcast_status(self._clock(), entries)
-            ),
-        )
-        if any(item.key == key and item.data == data for item in listing.items):
+        is_listed = self._announce_to_entries(key, data)
+        if is_listed:
             return
         _process.retry_until_answered(
             lambda: client.put(key, data), self._log, 'put own listing'
         )
         self._log('agent_listed', key=key)
+        # Entries that were listed since the first listing may have missed this agent.
+        self._announce_to_entries(key, data)
+
+    def _announce_to_entries(self, key: str, data: bytes) -> bool:
+        """Announce this agent to all listed entries; tell whether it is listed."""
+        listing = _process.retry_until_answered(
+            lambda: self._platform.store.list_prefix(listings.PREFIX),
+            self._log,
+            'list processes',
+        )
+        peers = [listings.read_entry(item) for item in listing.items]
+        entries = [peer.address for peer in peers if peer is not None]
+        self._loop.post(lambda: self._flows.announce(entries, self._clock()))
+        return any(item.key == key and item.data == data for item in listing.items)
 
     def _unlist_self(self) -> None:
         key = listings.AGENTS_PREFIX + self._settings.name
@@ -210,6 +231,7 @@
     agent_settings: settings.RelayAgent,
     platform: adapter.Adapter,
     log: _process.Logger,
+    read_settings: typing.Callable[[], settings.RelayAgent],
 ) -> None:
     """Run the agent until it has drained."""
-    RelayAgent(agent_settings, platform, log).run()
+    RelayAgent(agent_settings, platform, log, read_settings).run()
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -16,6 +16,7 @@
 from egretjunction.relay import _configuration
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
+from egretjunction.relay import _membership
 from egretjunction.relay import _process
 from egretjunction.relay import adapter
 from egretjunction.relay import listings
@@ -29,10 +30,10 @@
 # Older packets are dropped: clients have retransmitted them, maybe to another entry.
 MAX_EARLY_PACKET_SECONDS = 0.6
 MAX_EARLY_PACKETS = 512  # client packets kept until configuration and agents are read
-MEMBERS_WATCH_SECONDS = 15.0  # longest duration of one watch call
 MIN_DRAIN_SECONDS = 1.2  # routers need two failed checks, 0.5 s apart
-MAX_DRAIN_SECONDS = 5.2  # the platform kills a process 6 s after SIGTERM
+DRAIN_MARGIN_SECONDS = 0.8  # of the grace period; left for the end of the process
 IDLE_SECONDS = 0.4  # without client packets; the routers no longer use this entry
+MILLISECONDS_PER_SECOND = 1_000
 SETTLE_SECONDS = 0.15  # agents answer the first pings within this time
 
 
@@ -42,6 +43,7 @@
     :param entry_settings: checked settings.
     :param platform: the platform's adapter.
     :param log: writes one event.
+    :param read_settings: reads the settings again.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         entry_settings: settings.RelayEntry,
         platform: adapter.Adapter,
         log: _process.Logger,
+        read_settings: typing.Callable[[], settings.RelayEntry],
     ) -> None:
+        self._read_settings = read_settings
         self._settings = entry_settings
         self._platform = platform
         self._log = log
@@ -57,7 +61,11 @@
         self._members = relay_members.Members(entry_settings.domain)
         self._routes = relay_routes.Routes()
         self._flows = relay_entry.EntryFlows(
-            self._members, self._routes, platform.codec, entry_settings.link_mbps
+            self._members,
+            self._routes,
+            platform.codec,
+            entry_settings.link_mbps,
+            entry_settings.max_flow_seconds,
         )
         self._members_listed_at: float | None = None
         self._early_packets: collections.deque[tuple[float, packets.Packet]] = (
@@ -70,6 +78,7 @@
         self._metrics = metrics.Metrics('entry')
         self._configuration = _configuration.Follower(
             entry_settings.name,
+            entry_settings.configuration_ms / MILLISECONDS_PER_SECOND,
             platform,
             self._routes,
             self._loop,
@@ -105,11 +114,17 @@
             self._settings.metrics, _http.page_handler(render_by_path), self._loop
         )
         self._register_gauges()
-        _process.install_handlers(self._loop, self._tick, self.drain, self._log)
+        _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
         self._log('entry_started', clients=str(self._settings.clients))
         self._configuration.start()
-        for task in (self._follow_members, self._ensure_listed):
-            _process.start(task, self._log)
+        follower = _membership.ListingFollower(
+            self._settings,
+            self._platform.store,
+            self._post_listing,
+            lambda changes: self._loop.post(lambda: self._on_members_changes(changes)),
+            self._log,
+        )
+        _process.start(follower.run, self._log)
         self._loop.run()
         self._log('entry_stopped', flows=self._flows.flow_count)
 
@@ -143,6 +158,12 @@
         }
         return msgspec.json.encode(summary)
 
+    def reload(self) -> None:
+        """Read the settings again and apply the changes that need no restart."""
+        self._settings = _process.reload_settings(
+            self._settings, self._read_settings, self._log
+        )
+
     def drain(self) -> None:
         """Fail the readiness check, relay remaining packets, then stop."""
         if self._draining_since is not None:
@@ -205,51 +226,25 @@
             return
         drained_seconds = now - self._draining_since
         is_idle = now - self._last_client_packet_at > IDLE_SECONDS
-        if drained_seconds > MAX_DRAIN_SECONDS or (
+        max_drain_seconds = self._settings.grace_seconds - DRAIN_MARGIN_SECONDS
+        if drained_seconds > max_drain_seconds or (
             drained_seconds > MIN_DRAIN_SECONDS and is_idle
         ):
             self._loop.stop()
 
-    def _post(
-        self, handler: typing.Callable[[typing.Any], None], argument: object
-    ) -> None:
-        self._loop.post(lambda: handler(argument))
-
-    def _follow_members(self) -> None:
-        _process.follow_prefix(
-            self._platform.store,
-            listings.PREFIX,
-            MEMBERS_WATCH_SECONDS,
-            lambda listing: self._post(self._on_members_listing, listing),
-            lambda changes: self._post(self._on_members_changes, changes),
-            self._log,
-        )
-
-    def _ensure_listed(self) -> None:
-        key, data = listings.entry_item(
-            self._settings.name,
-            self._settings.domain,
-            self._settings.agents,
-            self._settings.metrics,
-        )
-        item = _process.retry_until_answered(
-            lambda: self._platform.store.get(key), self._log, 'get own listing'
-        )
-        if item.data != data:
-            _process.retry_until_answered(
-                lambda: self._platform.store.put(key, data),
-                self._log,
-                'put own listing',
-            )
+    def _post_listing(self, listing: store.Listing, is_stale: bool) -> None:
+        self._loop.post(lambda: self._on_members_listing(listing, is_stale=is_stale))
 
-    def _on_members_listing(self, listing: store.Listing) -> None:
+    def _on_members_listing(
+        self, listing: store.Listing, *, is_stale: bool = False
+    ) -> None:
         now = self._clock()
         names = set()
         self._configuration.peer_by_name.clear()
         for item in listing.items:
             names.add(item.key.removeprefix(listings.AGENTS_PREFIX))
             self._add_process(item)
-        self._members.mark_others_unlisted(names, now)
+        self._members.mark_others_unlisted(names, now, is_stale=is_stale)
         if self._members_listed_at is None:
             self._members_listed_at = now
         self._log(
@@ -263,7 +258,7 @@
     def _on_members_changes(self, changes: store.Changes) -> None:
         for key in changes.deleted:
             name = key.removeprefix(listings.AGENTS_PREFIX)
-            member = self._members.mark_unlisted(name, self._clock())
+            member = self._members.mark_unlisted(name)
             if member is not None:
                 self._log('member_unlisted', member=name, state=member.status.state)
             self._configuration.peer_by_name.pop(
@@ -293,6 +288,7 @@
     entry_settings: settings.RelayEntry,
     platform: adapter.Adapter,
     log: _process.Logger,
+    read_settings: typing.Callable[[], settings.RelayEntry],
 ) -> None:
     """Run the entry until it has drained."""
-    RelayEntry(entry_settings, platform, log).run()
+    RelayEntry(entry_settings, platform, log, read_settings).run()
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -26,12 +26,14 @@
 class Peer(msgspec.Struct, frozen=True):
     """An entry that the key-value service lists.
 
+    :param domain: its failure domain.
     :param address: its UDP address for messages of agents.
     :param metrics_address: its HTTP address for metrics, status and configuration,
         None when it has none.
     """
 
     name: str
+    domain: str
     address: addresses.Address
     metrics_address: addresses.Address | None
 
@@ -78,4 +80,5 @@
         figures = addresses.parse(listing.figures) if listing.figures else None
     except (msgspec.DecodeError, ValueError):
         return None
-    return Peer(item.key.removeprefix(ENTRIES_PREFIX), address, figures)
+    name = item.key.removeprefix(ENTRIES_PREFIX)
+    return Peer(name, listing.domain, address, figures)
--- a/src/egretjunction/relay/packets.py
+++ b/src/egretjunction/relay/packets.py
@@ -68,8 +68,37 @@
         self.token = token
 
 
+class Opening:
+    """How clients of a platform open a flow.
+
+    :param offsets_seconds: when a client sends the first packet and its
+        retransmissions, after the first one.
+    :param timeout_seconds: time after which it gives up if no server has accepted.
+    """
+
+    __slots__ = ('_offsets_seconds', 'timeout_seconds')
+
+    def __init__(
+        self, offsets_seconds: typing.Sequence[float], timeout_seconds: float
+    ) -> None:
+        self._offsets_seconds = tuple(offsets_seconds)
+        self.timeout_seconds = timeout_seconds
+
+    def started_at(self, packet: Packet, now: float) -> float:
+        """Return when the client sent the original of a first packet."""
+        retransmissions = min(packet.acknowledged, len(self._offsets_seconds) - 1)
+        return now - self._offsets_seconds[retransmissions]
+
+
 class Codec(typing.Protocol):
-    """Decodes and encodes packets of one platform."""
+    """Decodes and encodes packets of one platform.
+
+    :param opening: how clients open a flow.
+    :param segment_bytes: most data bytes of one packet.
+    """
+
+    opening: Opening
+    segment_bytes: int
 
     def from_client(self, raw: bytes) -> Packet:
         """Decode a client's packet.
--- a/src/egretjunction/relay/running.py
+++ b/src/egretjunction/relay/running.py
@@ -35,14 +35,19 @@
         raise errors.RefusedError(
             f'unknown role "{role}"; the roles are entry and agent'
         )
-    role_settings = settings.read(
-        _read_text(settings_path), settings_path, _SETTINGS_BY_ROLE[role]
-    )
+
+    def read_settings() -> settings.RelayEntry | settings.RelayAgent:
+        return settings.read(
+            _read_text(settings_path), settings_path, _SETTINGS_BY_ROLE[role]
+        )
+
+    role_settings = read_settings()
     platform = connect(role_settings.client_port, role_settings.platform)
     module = importlib.import_module(f'egretjunction.relay.{role}')
     gc.freeze()
     gc.enable()
-    module.start(role_settings, platform, _logs.EventLog(role, role_settings.name))
+    log = _logs.EventLog(role, role_settings.name)
+    module.start(role_settings, platform, log, read_settings)
 
 
 def _read_text(path: str) -> str:
--- a/src/egretjunction/relay/settings.py
+++ b/src/egretjunction/relay/settings.py
@@ -1,6 +1,7 @@
 """Settings of the relay daemons."""
 
 import types
+import typing
 
 import msgspec
 
@@ -8,6 +9,12 @@
 from egretjunction import addresses
 
 UNLIMITED_MBPS = 10_000.0  # exceeds what one process can send
+MAX_SECONDS = 86_400  # larger bounds are typing errors
+MAX_MILLISECONDS = MAX_SECONDS * 1_000
+
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_SECONDS)]
+Milliseconds = typing.Annotated[int, msgspec.Meta(gt=0, le=MAX_MILLISECONDS)]
+Mbps = typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
 class RelayEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -21,6 +28,10 @@
     :param metrics: HTTP address for metrics and status.
     :param platform: HTTP address of the platform's key-value service.
     :param link_mbps: bandwidth of the machine's link in megabits per second.
+    :param grace_seconds: time between SIGTERM and SIGKILL.
+    :param max_flow_seconds: age from which a flow may be dropped.
+    :param configuration_ms: time within which an accepted configuration must be in
+        force, in milliseconds.
     """
 
     name: str
@@ -30,7 +41,10 @@
     ready: addresses.Address
     metrics: addresses.Address
     platform: addresses.Address
-    link_mbps: float = UNLIMITED_MBPS
+    grace_seconds: Seconds
+    max_flow_seconds: Seconds
+    configuration_ms: Milliseconds
+    link_mbps: Mbps = UNLIMITED_MBPS
 
     @property
     def client_port(self) -> int:
@@ -53,6 +67,8 @@
     :param metrics: HTTP address for metrics and status.
     :param heartbeat_ms: interval of the backend server's heartbeats in milliseconds.
     :param platform: HTTP address of the platform's key-value service.
+    :param grace_seconds: time between SIGTERM and SIGKILL.
+    :param max_flow_seconds: age from which a flow may be dropped.
     """
 
     name: str
@@ -64,8 +80,10 @@
     ready: addresses.Address
     announcements: addresses.Address
     metrics: addresses.Address
-    heartbeat_ms: int
+    heartbeat_ms: Milliseconds
     platform: addresses.Address
+    grace_seconds: Seconds
+    max_flow_seconds: Seconds
 
     @property
     def client_port(self) -> int:
@@ -78,6 +96,39 @@
 )
 
 
+RELOADABLE = frozenset(('grace_seconds',))
+
+
+class Reload(msgspec.Struct, frozen=True):
+    """What a daemon does with newly read settings.
+
+    :param settings: the settings in force, with the changes that need no restart.
+    :param applied: keys whose change is in force.
+    :param postponed: keys whose change takes a restart of the process.
+    """
+
+    settings: RelayEntry | RelayAgent
+    applied: list[str]
+    postponed: list[str]
+
+
+def merge_reloaded(
+    current: RelayEntry | RelayAgent, reloaded: RelayEntry | RelayAgent
+) -> Reload:
+    """Apply the changes that a running daemon can take over."""
+    value_by_key = {
+        key: getattr(reloaded, key)
+        for key in current.__struct_fields__
+        if getattr(reloaded, key) != getattr(current, key)
+    }
+    applied = {key: value_by_key[key] for key in value_by_key if key in RELOADABLE}
+    return Reload(
+        msgspec.structs.replace(current, **applied),
+        sorted(applied),
+        sorted(value_by_key.keys() - RELOADABLE),
+    )
+
+
 def read(text: str, source: str, settings_class: type) -> RelayEntry | RelayAgent:
     """Parse and validate the settings of a daemon.
 
--- a/src/egretjunction/store.py
+++ b/src/egretjunction/store.py
@@ -62,8 +62,12 @@
     def get(self, key: str) -> Item:
         """Return the item of a key, with revision 0 when the key does not exist."""
 
-    def list_prefix(self, prefix: str) -> Listing:
-        """Return the items whose key starts with a prefix."""
+    def list_prefix(self, prefix: str, *, allow_stale: bool = False) -> Listing:
+        """Return the items whose key starts with a prefix.
+
+        :param prefix: prefix of the keys.
+        :param allow_stale: whether the listing may be seconds old, which costs less.
+        """
 
     def watch(self, prefix: str, revision: int, wait_seconds: float) -> Changes:
         """Wait for changes after a revision.
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -8,6 +8,8 @@
 
 from egretjunction import errors
 
+ANNOUNCE_TAG = 11
+
 
 class State(enum.IntEnum):
     """State of a backend server, as its agent reports it."""
@@ -56,12 +58,14 @@
     :param token: identifies the offer in replies.
     :param service_tag: ``compute_service_tag`` of the service of the route.
     :param is_final: whether a busy agent should accept it nevertheless.
+    :param timeout_ms: request timeout of the route in milliseconds, 0 if unknown.
     """
 
     token: int
     service_tag: int
     is_final: bool
     packet: bytes
+    timeout_ms: int = 0
 
 
 class Deliver(msgspec.Struct, array_like=True, tag=2):
@@ -154,8 +158,23 @@
     status: Status
 
 
+class Announce(msgspec.Struct, array_like=True, tag=ANNOUNCE_TAG):
+    """Agent to entry: a new agent, sent until the entry answers with any message.
+
+    :param name: name of the agent.
+    :param service: service of its backend server.
+    :param domain: its failure domain.
+    """
+
+    name: str
+    service: str
+    domain: str
+    status: Status
+
+
 Message = (
-    Offer
+    Announce
+    | Offer
     | Deliver
     | Find
     | Ask
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -156,7 +156,10 @@
     quiet-1.
     """
     agent = build.relay_agent.AgentFlows(
-        build.relay_server.Server(build.SERVICE, 1.0), build.Codec()
+        build.relay_server.Server(build.SERVICE, 1.0),
+        build.Codec(),
+        build.MAX_FLOW_SECONDS,
+        build.announcer(),
     )
     agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
     assert not build.sent_messages(agent.tick(0.2), relaying.Held)
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -131,14 +131,14 @@
 def test_flow_of_an_unlisted_member_is_kept():
     entry = build.entry('m-1')
     owner = _place_flow(entry, build.first_packet())
-    entry.members.mark_unlisted('m-1', 1)
+    entry.members.mark_unlisted('m-1')
     emitted = entry.on_client_packet(build.request(), 2)
     assert build.sent_messages(emitted, relaying.Deliver)[0][1] == owner
 
 
 def test_next_ping_tells_a_member_that_it_is_unlisted():
     entry = build.entry('m-1')
-    entry.members.mark_unlisted('m-1', 1)
+    entry.members.mark_unlisted('m-1')
     ((ping, _),) = build.sent_messages(entry.tick(2), relaying.Ping)
     assert ping.is_unlisted
 
--- a/tests/decisions/test_relay_machine.py
+++ b/tests/decisions/test_relay_machine.py
@@ -99,7 +99,12 @@
 
     def _start_agent(self, name):
         server = relay_server.Server(build.SERVICE, 1.0)
-        self.agent_by_name[name] = relay_agent.AgentFlows(server, build.Codec())
+        self.agent_by_name[name] = relay_agent.AgentFlows(
+            server,
+            build.Codec(),
+            build.MAX_FLOW_SECONDS,
+            build.announcer(),
+        )
         self._send_heartbeat(name)
 
     def _start_entry(self, name):
@@ -255,7 +260,7 @@
     def lose_key(self, number):
         """Remove an agent's key from the store."""
         for entry in self.entry_by_name.values():
-            entry.members.mark_unlisted(AGENTS[number], self.now)
+            entry.members.mark_unlisted(AGENTS[number])
 
     @stateful.invariant()
     def one_server_runs_a_flow(self):
--- a/tests/decisions/test_relay_waiting.py
+++ b/tests/decisions/test_relay_waiting.py
@@ -11,7 +11,7 @@
         last_seen_at=started_at if last_seen_at is None else last_seen_at,
         priority=priority,
         target_seconds=target,
-        timeout_seconds=timeout,
+        opening_seconds=timeout,
     )
 
 
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -19,6 +19,7 @@
 from egretjunction import addresses
 from egretjunction import store
 from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_watching
 from egretjunction.relay import entry
 from egretjunction.relay import listings
 from egretjunction.standins import ports
@@ -65,11 +66,13 @@
             f'ready = {host}:{self.http}',
             f'metrics = {host}:{self.inner_port + 1}',
         ]
-        lines += [f'platform = {self.store}']
+        lines += [f'platform = {self.store}', 'grace_seconds = 6']
+        lines += ['max_flow_seconds = 60']
         if role == 'entry':
             lines += [
                 f'clients = {host}:{self.port}',
                 f'agents = {host}:{self.inner_port}',
+                'configuration_ms = 3000',
             ]
         else:
             lines += [f'service = {SERVICE}', f'entries = {host}:{self.port}']
@@ -280,7 +283,7 @@
         store_state.write(
             {'egretjunction/entries/e-2': json.dumps(listed).encode()}, []
         )
-        time.sleep(0.2)
+        time.sleep(relay_watching.COALESCING_SECONDS + 0.2)
         store_state.status = 503
         system.ping_agent(8)
         _wait_until(lambda: b'"version":8' in system.get('entry', '/status')[1])
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -5,6 +5,7 @@
 from egretjunction import addresses
 from egretjunction import errors
 from egretjunction.decisions import relay_agent
+from egretjunction.decisions import relay_announcing
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
@@ -17,12 +18,16 @@
 OTHER_ENTRY = addresses.Address('127.0.0.2', 7000)
 ROUTE = addresses.Address('198.18.0.1', 443)
 SERVICE = 'bookings'
+MAX_FLOW_SECONDS = 60.0
 KEY = b'\x64\x40\x00\x07\x9c\x41' + addresses.pack(ROUTE)
 
 
 class Codec:
     """Encodes packets as lists: key, sequence, acknowledged, data bytes, flags, token."""
 
+    opening = packets.Opening((0, 0.2, 0.6), 1.4)
+    segment_bytes = 1200
+
     def from_client(self, raw):
         return self._read(raw)
 
@@ -121,13 +126,18 @@
     return relay_server.Heartbeat(name, SERVICE, born, sequence, slots, **fields)
 
 
+def announcer():
+    """Return what announces the agent m-1."""
+    return relay_announcing.Announcer('m-1', 'a')
+
+
 def agent(is_known_since_start=True, slots=2):
     """Return the flows of an agent that has received a heartbeat of its server.
 
     :param is_known_since_start: whether that was the first heartbeat of the server.
     """
     server = relay_server.Server(SERVICE, 1.0)
-    flows = relay_agent.AgentFlows(server, Codec())
+    flows = relay_agent.AgentFlows(server, Codec(), MAX_FLOW_SECONDS, announcer())
     flows.on_heartbeat(
         heartbeat(sequence=1 if is_known_since_start else 9, slots=slots), 0
     )
@@ -164,7 +174,9 @@
     active_routes = relay_routes.Routes()
     route = relay_routes.Route('r', ROUTE, {SERVICE: 1})
     active_routes.adopt(routes or relay_routes.RouteTable(1, [route]))
-    flows = relay_entry.EntryFlows(members, active_routes, Codec(), link_mbps)
+    flows = relay_entry.EntryFlows(
+        members, active_routes, Codec(), link_mbps, MAX_FLOW_SECONDS
+    )
     for name in names:
         member = relay_members.Member(name, SERVICE, domain, member_address(name))
         members.add_or_update(member)
