--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -263,3 +263,53 @@
     emitted = entry.on_message(returned, owner, 0.02)
     asked = {effect.address for effect in build.owner_questions(emitted)}
     assert asked == set(entry.members.member_by_address) - {owner}
+
+
+def _entry_with_far_members(near, far):
+    entry = build.entry(*(f'm-{number}' for number in range(near)))
+    for number in range(near, near + far):
+        name = f'm-{number}'
+        member = relay_members.Member(
+            name, build.SERVICE, 'b', build.member_address(name)
+        )
+        entry.members.add_or_update(member)
+        member.record_status(build.status(), 0)
+    return entry
+
+
+def _asked(emitted):
+    return {effect.address for effect in build.owner_questions(emitted)}
+
+
+def test_search_asks_other_domains_only_after_the_own_one_has_denied():
+    """Load pattern: routers move all flows of a domain to other entries of it."""
+    entry = _entry_with_far_members(2, 3)
+    emitted = entry.on_client_packet(build.request(), 0)
+    assert _asked(emitted) == {build.member_address(f'm-{n}') for n in range(2)}
+    (question,) = build.owner_questions(emitted)[0].message.questions
+    denial = relaying.NotHeld([question.token], build.status())
+    assert not _asked(_receive(entry, 'm-0', denial))
+    emitted = _receive(entry, 'm-1', denial)
+    assert _asked(emitted) == {build.member_address(f'm-{n}') for n in range(2, 5)}
+
+
+def test_search_asks_other_domains_if_the_own_one_does_not_answer_in_time():
+    entry = _entry_with_far_members(2, 3)
+    entry.on_client_packet(build.request(), 0)
+    emitted = entry.tick(relay_entry.SEARCH_ROUND_SECONDS + 0.001)
+    assert {build.member_address(f'm-{n}') for n in range(2, 5)} <= _asked(emitted)
+
+
+def test_announced_agent_gets_flows_before_it_is_listed():
+    entry = build.entry()
+    announcement = relaying.Announce('m-7', build.SERVICE, 'a', build.status())
+    _receive(entry, 'm-7', announcement)
+    ((_, address),) = _offers(entry.on_client_packet(build.first_packet(), 0.1))
+    assert address == build.member_address('m-7')
+
+
+def test_announcement_of_a_new_agent_replaces_the_one_that_had_its_address():
+    entry = build.entry('m-1')
+    announcement = relaying.Announce('n-1', 'surveys', 'a', build.status())
+    _receive(entry, 'm-1', announcement)
+    assert list(entry.members.member_by_name) == ['n-1']
--- a/tests/decisions/test_relay_members.py
+++ b/tests/decisions/test_relay_members.py
@@ -97,3 +97,82 @@
     members.member_by_name['m-1'].record_status(build.status(relaying.State.GONE), 1)
     assert _chosen_name(members, 1) == 'm-2'
     assert _chosen_name(members, 1, excluded=['m-2']) is None
+
+
+def _fleet(near, far, service=build.SERVICE):
+    members = relay_members.Members('a')
+    for number in range(near + far):
+        domain = 'a' if number < near else f'b{number % 5}'
+        _add(members, f'm-{number}', service, domain)
+    return members
+
+
+def _pings(members, seconds, start=1.0):
+    """Return the number of pings by member while every agent answers at once."""
+    count_by_name = dict.fromkeys(members.member_by_name, 0)
+    for tick in range(int(seconds / 0.025)):
+        now = start + tick * 0.025
+        for member in members.due_for_ping(now):
+            member.pinged_at = now
+            member.record_status(build.status(), now)
+            count_by_name[member.name] += 1
+    return count_by_name
+
+
+def test_pings_to_other_domains_do_not_grow_with_the_number_of_agents():
+    """Load pattern: 59 entries and 136 agents in six domains."""
+    count_by_name = _pings(_fleet(24, 112), 16)
+    near = [count_by_name[f'm-{number}'] for number in range(24)]
+    far = [count_by_name[f'm-{number}'] for number in range(24, 136)]
+    assert min(near) >= 30
+    assert sum(far) <= relay_members.FAR_PINGS_PER_SECOND * 16 + len(far)
+    assert min(far) >= 2
+
+
+def test_member_in_use_is_pinged_at_the_short_interval_in_any_domain():
+    members = _fleet(4, 100)
+    used = members.member_by_name['m-50']
+    used.used_at = 100
+    assert _pings(members, 4)['m-50'] >= 7
+
+
+def test_few_members_of_other_domains_are_pinged_for_a_service_without_near_ones():
+    count_by_name = _pings(_fleet(0, 100), 4)
+    often = [name for name, count in count_by_name.items() if count >= 7]
+    assert len(often) == relay_members.MIN_NEAR_MEMBERS
+
+
+def test_entry_cut_off_from_all_agents_is_unreachable_soon():
+    """The last answers of agents in other domains do not count as reached."""
+    members = _fleet(24, 112)
+    _pings(members, 2)
+    for tick in range(40):
+        now = 3.0 + tick * 0.025
+        for member in members.due_for_ping(now):
+            member.pinged_at = now
+            member.record_request(now)
+    assert members.has_unreachable_service(4.0)
+
+
+def test_service_whose_near_agents_are_gone_is_reached_in_other_domains():
+    members = _fleet(4, 20)
+    _pings(members, 2)
+    near_names = [f'm-{number}' for number in range(4)]
+    for tick in range(60):
+        now = 3.0 + tick * 0.025
+        for member in members.due_for_ping(now):
+            member.pinged_at = now
+            member.record_request(now)
+            if member.name not in near_names:
+                member.record_status(build.status(), now)
+    assert not members.has_unreachable_service(4.5)
+
+
+def test_stale_listing_does_not_unlist_a_member_that_answers():
+    members = _members('m-1', 'm-2')
+    members.member_by_name['m-2'].record_request(0)
+    members.mark_others_unlisted(set(), 60, is_stale=True)
+    assert members.member_by_name['m-1'].is_listed
+    assert not members.member_by_name['m-2'].is_listed
+    members.mark_others_unlisted(set(), 60)
+    assert not members.member_by_name['m-1'].is_listed
--- a/tests/decisions/test_relay_routes.py
+++ b/tests/decisions/test_relay_routes.py
@@ -41,3 +41,35 @@
         relay_routes.choose_service(route, number.to_bytes(12)) for number in range(200)
     }
     assert chosen == {'surveys'}
+
+
+OTHER_ADDRESS = addresses.Address('198.18.0.2', 443)
+
+
+def _bounded_table(version, timeout_by_address):
+    routes = [
+        relay_routes.Route('r', address, {'s': 1}, timeout_seconds=timeout)
+        for address, timeout in timeout_by_address.items()
+    ]
+    return relay_routes.RouteTable(version, routes)
+
+
+def test_unknown_bound_of_a_route_is_that_of_the_version_before():
+    routes = relay_routes.Routes()
+    routes.adopt(_bounded_table(1, {ADDRESS: 2.0, OTHER_ADDRESS: 8.0}))
+    routes.adopt(_bounded_table(2, {ADDRESS: 0, OTHER_ADDRESS: 8.0}))
+    assert routes.route_at(ADDRESS).timeout_seconds == 2.0
+
+
+def test_unknown_bound_of_a_new_route_is_the_longest_of_its_version():
+    routes = relay_routes.Routes()
+    routes.adopt(_bounded_table(1, {ADDRESS: 0, OTHER_ADDRESS: 13.0}))
+    assert routes.route_at(ADDRESS).timeout_seconds == 13.0
+
+
+def test_bounds_are_above_zero_if_no_version_states_them():
+    routes = relay_routes.Routes()
+    routes.adopt(_bounded_table(1, {ADDRESS: 0}))
+    route = routes.route_at(ADDRESS)
+    assert route.timeout_seconds > 0
+    assert route.target_seconds > 0
--- a/tests/decisions/test_relay_waiting.py
+++ b/tests/decisions/test_relay_waiting.py
@@ -2,7 +2,10 @@
 
 import types
 
+from egretjunction.decisions import relay_pending
+from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_waiting
+from tests import relay_builders as build
 
 
 def _first_packet(started_at, priority=1, last_seen_at=None, target=0.2, timeout=1.0):
@@ -46,3 +49,29 @@
 
 def test_none_is_selected_if_no_first_packet_waits():
     assert relay_waiting.select_next([], 0) is None
+
+
+def _offer(number, service=build.SERVICE):
+    route = relay_routes.Route('r', build.ROUTE, {service: 1}, target_seconds=0.2)
+    route.timeout_seconds = 1.0
+    first_packet = build.first_packet(build.flow_key(number))
+    return relay_pending.Offer(
+        first_packet, service, route, build.Codec.opening, number / 100
+    )
+
+
+def test_each_waiting_first_packet_is_returned_until_it_is_removed():
+    waiting = relay_waiting.WaitingOffers()
+    offers = [_offer(number) for number in range(3)]
+    for token, offer in enumerate(offers):
+        waiting.add(token, offer)
+    for expected in enumerate(offers):
+        assert waiting.next_of(build.SERVICE, 0.05) == expected
+        waiting.remove(expected[1])
+    assert waiting.next_of(build.SERVICE, 0.05) is None
+
+
+def test_first_packets_of_another_service_are_not_returned():
+    waiting = relay_waiting.WaitingOffers()
+    waiting.add(1, _offer(1, 'surveys'))
+    assert waiting.next_of(build.SERVICE, 0.05) is None
--- a/tests/platform/test_operator_config.py
+++ b/tests/platform/test_operator_config.py
@@ -61,3 +61,18 @@
 def test_arbitrary_document_is_rejected(raw):
     with pytest.raises(errors.PlatformFormatError):
         operator_config.read_routes(raw)
+
+
+@pytest.mark.parametrize('field', ['timeout_ms', 'target_latency_ms'])
+@pytest.mark.parametrize('given_ms', [0, -5, 86_400_001])
+def test_bound_that_is_not_allowed_is_named_and_drops_no_route(field, given_ms):
+    table = _read({'version': 7, 'routes': [{**ROUTES[0], field: given_ms}]})
+    assert len(table.route_by_address) == 1
+    (problem,) = table.problems
+    for part in ('op/config', '"r-1"', field, f'"{given_ms:g}"', 'allowed: above 0'):
+        assert part in problem
+
+
+def test_missing_bounds_are_named():
+    table = _read({'version': 7, 'routes': ROUTES})
+    assert [problem.count('"r-2"') for problem in table.problems] == [1, 1]
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -5,6 +5,7 @@
 import http.server
 import json
 import pathlib
+import signal
 import socket
 import struct
 import subprocess
@@ -212,6 +213,8 @@
             'host': ROUTE.host,
             'prefix': f'/{ROUTE.port}/',
             'service': name,
+            'timeout_ms': 8000,
+            'target_latency_ms': 500,
         }
         for name in services
     ]
@@ -396,3 +399,39 @@
     daemon._on_members_listing(store.Listing(items, 1))
     daemon._on_members_listing(store.Listing(items[1:], 2))
     assert list(daemon._configuration.peer_by_name) == ['e-2']
+
+
+def test_settings_with_errors_at_reload_change_nothing_and_are_named(running):
+    system, _ = running
+    path = system.folder / 'entry.ini'
+    path.write_text(path.read_text('utf-8') + '\ngrace_second = 9\n', 'utf-8')
+    system.processes['entry'].send_signal(signal.SIGHUP)
+    _wait_until(lambda: 'event=settings_rejected' in system.log('entry'))
+    assert 'grace_second' in system.log('entry')
+    system.open(4007)
+    assert system.processes['entry'].poll() is None
+
+
+def test_entry_whose_listing_was_taken_away_lists_itself_again(running):
+    system, store_state = running
+    key = 'egretjunction/entries/entry-1'
+    _wait_until(lambda: key in store_state.item_by_key)
+    store_state.write({}, [key])
+    _wait_until(lambda: key in store_state.item_by_key)
+    assert 'event=own_listing_lost' in system.log('entry')
+
+
+def test_terminated_agent_waits_for_a_request_within_the_grace_period(running):
+    """Guards against a planned stop that cut requests after a fixed 2.5 s."""
+    system, _ = running
+    system.open(4008)
+    system.send(4008, ACK, 101, 501, b'x' * 100)
+    system.server_socket.recv(2048)
+    system.processes['agent'].terminate()
+    for sequence in range(2, 14):
+        assert system.announce(sequence) == 200
+        time.sleep(0.25)
+    assert system.processes['agent'].poll() is None
+    response = system.answer(4008, ACK, 501, b'answer')
+    assert system.client_socket.recv(2048) == response
+    assert system.processes['agent'].wait(WAIT_SECONDS) == 0
