--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -5,17 +5,25 @@
 import http.server
 import json
 import pathlib
+import signal
 import socket
 import struct
 import subprocess
 import sys
 import threading
 import time
+import types
 
 import flow_packets
 import pytest
 
 from egretjunction import addresses
+from egretjunction import store
+from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_watching
+from egretjunction.relay import entry
+from egretjunction.relay import listings
+from egretjunction.standins import ports
 from egretjunction.wire import relaying
 from tests.platform import store_standin
 
@@ -31,21 +39,17 @@
 WAIT_SECONDS = 10
 
 
-def _free_port():
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        return listener.getsockname()[1]
-
-
 class _System:
     """One entry, one agent, and the sockets of a backend server and a client."""
 
     def __init__(self, folder, store_address):
         self.folder = folder
         self.store = store_address
-        self.port = _free_port()
-        self.http = _free_port()
-        self.inner_port = _free_port()
-        self.server_socket = self._udp((AGENT_HOST, _free_port()))
+        self.ports = ports.PortAllocator()
+        self.port = self.ports.take().port
+        self.http = self.ports.take_consecutive(2)
+        self.inner_port = self.ports.take_consecutive(2)
+        self.server_socket = self._udp((AGENT_HOST, self.ports.take().port))
         self.client_socket = self._udp((CLIENT_HOST, self.port))
         self.processes = {}
 
@@ -63,11 +67,13 @@
             f'ready = {host}:{self.http}',
             f'metrics = {host}:{self.inner_port + 1}',
         ]
-        lines += [f'platform = {self.store}']
+        lines += [f'platform = {self.store}', 'grace_seconds = 6']
+        lines += ['max_flow_seconds = 60']
         if role == 'entry':
             lines += [
                 f'clients = {host}:{self.port}',
                 f'agents = {host}:{self.inner_port}',
+                'configuration_ms = 3000',
             ]
         else:
             lines += [f'service = {SERVICE}', f'entries = {host}:{self.port}']
@@ -207,6 +213,8 @@
             'host': ROUTE.host,
             'prefix': f'/{ROUTE.port}/',
             'service': name,
+            'timeout_ms': 8000,
+            'target_latency_ms': 500,
         }
         for name in services
     ]
@@ -278,7 +286,7 @@
         store_state.write(
             {'egretjunction/entries/e-2': json.dumps(listed).encode()}, []
         )
-        time.sleep(0.2)
+        time.sleep(relay_watching.COALESCING_SECONDS + 0.2)
         store_state.status = 503
         system.ping_agent(8)
         _wait_until(lambda: b'"version":8' in system.get('entry', '/status')[1])
@@ -347,3 +355,83 @@
     assert completed.returncode == 1
     for part in (str(path), 'relay-entry', 'clients', 'agents'):
         assert part in completed.stderr
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'variables', 'message'),
+    [
+        ([], {'EGRETJUNCTION_NODE_FILE': 'x'}, 'expected one argument'),
+        (['entry', 'agent'], {'EGRETJUNCTION_NODE_FILE': 'x'}, 'expected one argument'),
+        (['entry'], {}, 'EGRETJUNCTION_NODE_FILE'),
+        (['other'], {'EGRETJUNCTION_NODE_FILE': 'x'}, 'unknown role "other"'),
+        (['entry'], {'EGRETJUNCTION_NODE_FILE': '/nowhere'}, '/nowhere'),
+    ],
+)
+def test_start_without_role_or_settings_is_refused_in_one_line(
+    arguments, variables, message
+):
+    completed = subprocess.run(
+        [sys.executable, str(ROOT / 'platform' / '__main__.py'), *arguments],
+        env=variables,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert completed.returncode == 1
+    assert message in completed.stderr
+    assert completed.stderr.startswith('error: ')
+    assert 'Traceback' not in completed.stderr
+
+
+def test_peers_that_a_full_listing_lacks_are_forgotten():
+    """Guards against reading the configuration from entries that left long ago."""
+    items = [
+        store.Item(*listings.entry_item(name, 'a', ROUTE, ROUTE), 1)
+        for name in ('e-1', 'e-2')
+    ]
+    daemon = entry.RelayEntry.__new__(entry.RelayEntry)
+    daemon._members = relay_members.Members('a')
+    daemon._members_listed_at = 0.0
+    daemon._clock = time.monotonic
+    daemon._log = lambda *_, **__: None
+    daemon._tick = daemon._handle_early_packets = lambda: None
+    daemon._configuration = types.SimpleNamespace(peer_by_name={})
+    daemon._on_members_listing(store.Listing(items, 1))
+    daemon._on_members_listing(store.Listing(items[1:], 2))
+    assert list(daemon._configuration.peer_by_name) == ['e-2']
+
+
+def test_settings_with_errors_at_reload_change_nothing_and_are_named(running):
+    system, _ = running
+    path = system.folder / 'entry.ini'
+    path.write_text(path.read_text('utf-8') + '\ngrace_second = 9\n', 'utf-8')
+    system.processes['entry'].send_signal(signal.SIGHUP)
+    _wait_until(lambda: 'event=settings_rejected' in system.log('entry'))
+    assert 'grace_second' in system.log('entry')
+    system.open(4007)
+    assert system.processes['entry'].poll() is None
+
+
+def test_entry_whose_listing_was_taken_away_lists_itself_again(running):
+    system, store_state = running
+    key = 'egretjunction/entries/entry-1'
+    _wait_until(lambda: key in store_state.item_by_key)
+    store_state.write({}, [key])
+    _wait_until(lambda: key in store_state.item_by_key)
+    assert 'event=own_listing_lost' in system.log('entry')
+
+
+def test_terminated_agent_waits_for_a_request_within_the_grace_period(running):
+    """Guards against a planned stop that cut requests after a fixed 2.5 s."""
+    system, _ = running
+    system.open(4008)
+    system.send(4008, ACK, 101, 501, b'x' * 100)
+    system.server_socket.recv(2048)
+    system.processes['agent'].terminate()
+    for sequence in range(2, 14):
+        assert system.announce(sequence) == 200
+        time.sleep(0.25)
+    assert system.processes['agent'].poll() is None
+    response = system.answer(4008, ACK, 501, b'answer')
+    assert system.client_socket.recv(2048) == response
+    assert system.processes['agent'].wait(WAIT_SECONDS) == 0
