Entries prove that nobody holds a flow against a complete view

Change: without a watch, and with a listing older than 2 s, the entry reads a new one before it resets; while the store cannot be read the search ends without a reset. Three tests, the first of which fails without the change.

--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -16,6 +16,7 @@
 REOFFER_INTERVAL_SECONDS = 0.05  # between offers of waiting first packets
 SEARCH_ROUND_SECONDS = 0.08  # an agent's probe of its server, plus a round trip
 MAX_SEARCH_SECONDS = 1.0
+LISTING_SECONDS = 0.02  # the store answers within a few milliseconds
 EARLY_PACKET_SECONDS = 0.02  # answers are late by at most the latency between domains
 MAX_QUEUED_PACKETS = 32  # per flow; covers both of its windows
 MAX_MEMBERS_PER_ROUND = 64  # agents asked at once in a search
@@ -372,7 +373,8 @@
 
         Flows are placed in the own domain unless its servers are full, so that most
         searches send nothing to other domains when the routers move flows to other
-        entries of the domain.
+        entries of the domain. That nobody holds a flow is known only once all members
+        of a complete view have denied it.
         """
         if now - search.started_at > MAX_SEARCH_SECONDS:
             self._end_search(token, search)
@@ -382,6 +384,9 @@
         candidates = [
             member for member in reachable if member.name not in search.denied
         ]
+        if not candidates and not self.members.is_complete(now):
+            search.due_at = now + LISTING_SECONDS
+            return []
         if not candidates:
             self._end_search(token, search)
             return [_reset_flow(search.queue[-1], 'nobody_holds_it')]
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -23,6 +23,7 @@
 FAR_PINGS_PER_SECOND = 20.0
 MAX_FAR_PING_SECONDS = 8.0  # agents send changes of state to entries heard of for 10 s
 FAR_SILENT_PING_SECONDS = 1.0
+FRESH_LISTING_SECONDS = 2.0  # agents listed since then announce themselves
 USED_SECONDS = 2.0  # a member counts as in use for this long after the last packet
 MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
 OTHER_DOMAIN_PENALTY = 0.8  # share of its slots by which a near server may be fuller
@@ -129,6 +130,9 @@
 class Members:
     """All agents that an entry knows.
 
+    ``is_watched`` tells whether a watch reports each change of the listings, and
+    ``wants_listing`` whether a new listing is needed to tell that an agent is unknown.
+
     :param domain: failure domain of the entry.
     """
 
@@ -136,6 +140,9 @@
         self._domain = domain
         self.member_by_name: dict[str, Member] = {}
         self.member_by_address: dict[addresses.Address, Member] = {}
+        self.is_watched = False
+        self.wants_listing = False
+        self._listed_at = -math.inf
         self._probed_by_service: dict[str, list[Member]] | None = None
         self._probed_names: set[str] = set()
 
@@ -180,6 +187,21 @@
             if name not in names and is_certain:
                 self.mark_unlisted(name)
 
+    def record_listing(self, now: float) -> None:
+        """Record that a listing was read that is not stale."""
+        self._listed_at = now
+        self.wants_listing = False
+
+    def is_complete(self, now: float) -> bool:
+        """Tell whether the entry knows every listed agent; else ask for a listing.
+
+        An agent that is listed while this entry is not, since its key was taken away,
+        announces itself to the other entries only.
+        """
+        is_complete = self.is_watched or now - self._listed_at <= FRESH_LISTING_SECONDS
+        self.wants_listing = self.wants_listing or not is_complete
+        return is_complete
+
     def remove(self, member: Member) -> None:
         """Remove a member."""
         self.member_by_name.pop(member.name, None)
--- a/src/egretjunction/relay/_membership.py
+++ b/src/egretjunction/relay/_membership.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import threading
 import time
 import typing
 
@@ -21,13 +22,16 @@
     :param store_client: the key-value service.
     :param on_listing: called with a listing, and whether it may be seconds old.
     :param on_changes: called with later changes.
+    :param on_watching: called when a watch starts or ends, with whether it has started.
     :param log: writes one event.
     """
 
     __slots__ = (
+        '_is_needed',
         '_log',
         '_on_changes',
         '_on_listing',
+        '_on_watching',
         '_own_item',
         '_settings',
         '_store',
@@ -39,13 +43,16 @@
         store_client: store.Store,
         on_listing: typing.Callable[[store.Listing, bool], None],
         on_changes: typing.Callable[[store.Changes], None],
+        on_watching: typing.Callable[[bool], None],
         log: _process.Logger,
     ) -> None:
+        self._on_watching = on_watching
         self._settings = entry_settings
         self._store = store_client
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._log = log
+        self._is_needed = threading.Event()
         self._own_item = listings.entry_item(
             entry_settings.name,
             entry_settings.domain,
@@ -58,11 +65,20 @@
         listing = self._list(allow_stale=False)
         for _ in itertools.count():
             if self._is_watcher(listing):
+                self._on_watching(True)
                 self._watch(listing.revision)
+                self._on_watching(False)
                 listing = self._list(allow_stale=False)
             else:
-                time.sleep(relay_watching.relist_seconds(random.random()))
-                listing = self._list(allow_stale=True)
+                is_needed = self._is_needed.wait(
+                    relay_watching.relist_seconds(random.random())
+                )
+                listing = self._list(allow_stale=not is_needed)
+                self._is_needed.clear()
+
+    def request_listing(self) -> None:
+        """Read a listing that is not stale soon; thread-safe."""
+        self._is_needed.set()
 
     def _list(self, *, allow_stale: bool) -> store.Listing:
         """List all processes; list this one too if the store lacks it.
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -117,14 +117,15 @@
         _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
         self._log('entry_started', clients=str(self._settings.clients))
         self._configuration.start()
-        follower = _membership.ListingFollower(
+        self._follower = _membership.ListingFollower(
             self._settings,
             self._platform.store,
             self._post_listing,
             lambda changes: self._loop.post(lambda: self._on_members_changes(changes)),
+            self._post_watching,
             self._log,
         )
-        _process.start(follower.run, self._log)
+        _process.start(self._follower.run, self._log)
         self._loop.run()
         self._log('entry_stopped', flows=self._flows.flow_count)
 
@@ -222,6 +223,8 @@
         self._last_tick_at = now
         self._executor.apply(self._flows.tick(now, stalled_seconds))
         self._configuration.note_version(self._flows.newest_version)
+        if self._members.wants_listing:
+            self._follower.request_listing()
         if self._draining_since is None:
             return
         drained_seconds = now - self._draining_since
@@ -235,6 +238,12 @@
     def _post_listing(self, listing: store.Listing, is_stale: bool) -> None:
         self._loop.post(lambda: self._on_members_listing(listing, is_stale=is_stale))
 
+    def _post_watching(self, is_watched: bool) -> None:
+        def update() -> None:
+            self._members.is_watched = is_watched
+
+        self._loop.post(update)
+
     def _on_members_listing(
         self, listing: store.Listing, *, is_stale: bool = False
     ) -> None:
@@ -245,6 +254,8 @@
             names.add(item.key.removeprefix(listings.AGENTS_PREFIX))
             self._add_process(item)
         self._members.mark_others_unlisted(names, now, is_stale=is_stale)
+        if not is_stale:
+            self._members.record_listing(now)
         if self._members_listed_at is None:
             self._members_listed_at = now
         self._log(
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -313,3 +313,48 @@
     announcement = relaying.Announce('n-1', 'surveys', 'a', build.status())
     _receive(entry, 'm-1', announcement)
     assert list(entry.members.member_by_name) == ['n-1']
+
+
+def _denied_search(entry, now):
+    """Search for a flow that the member m-0 denies; return what is emitted then."""
+    emitted = entry.on_client_packet(build.request(), now)
+    (question,) = build.owner_questions(emitted)[0].message.questions
+    return _receive(
+        entry, 'm-0', relaying.NotHeld([question.token], build.status()), now
+    )
+
+
+def test_flow_is_not_reset_before_a_listing_shows_that_all_agents_were_asked():
+    """Guards against a reset while an agent that this entry missed holds the flow.
+
+    The entry's key was taken away, so that a new agent did not announce itself to it.
+    """
+    entry = build.entry('m-0')
+    entry.members.is_watched = False
+    assert not _denied_search(entry, 5)
+    assert entry.members.wants_listing
+    assert not build.of_type(entry.tick(5.03), effects.Reset)
+    entry.members.record_listing(5.04)
+    missed = relay_members.Member(
+        'm-1', build.SERVICE, 'a', build.member_address('m-1')
+    )
+    entry.members.add_or_update(missed)
+    assert _asked(entry.tick(5.06)) == {build.member_address('m-1')}
+
+
+def test_flow_that_no_listed_agent_holds_is_reset():
+    entry = build.entry('m-0')
+    entry.members.is_watched = False
+    _denied_search(entry, 5)
+    entry.members.record_listing(5.01)
+    (reset,) = build.of_type(entry.tick(5.03), effects.Reset)
+    assert reset.reason == 'nobody_holds_it'
+
+
+def test_flow_is_not_reset_while_the_store_cannot_be_read():
+    entry = build.entry('m-0')
+    entry.members.is_watched = False
+    _denied_search(entry, 5)
+    emitted = [effect for tick in range(60) for effect in entry.tick(5 + tick * 0.025)]
+    assert not build.of_type(emitted, effects.Reset)
+    assert not entry.pending_count
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -171,6 +171,7 @@
 def entry(*names, domain='a', routes=None, link_mbps=1000):
     """Return the flows of an entry with ready members in its own domain."""
     members = relay_members.Members(domain)
+    members.is_watched = True
     active_routes = relay_routes.Routes()
     route = relay_routes.Route('r', ROUTE, {SERVICE: 1})
     active_routes.adopt(routes or relay_routes.RouteTable(1, [route]))
