--- a/src/egretjunction/decisions/relay_watching.py
+++ b/src/egretjunction/decisions/relay_watching.py
@@ -15,7 +15,7 @@
 MAX_WATCH_SECONDS = 25.0  # the longest watch that platforms allow is 30 s
 MIN_WATCH_SECONDS = 1.0
 SPREAD_SECONDS = 1.0  # a version reaches every entry through agents within this time
-REPEATING_ENTRIES = 2.0  # share of the entries that may be cut off: all but 1 in 2
+ENTRIES_PER_WATCH = 2.0  # one of two may be cut off or restarting
 MIN_JITTER_SHARE = 0.5
 
 
@@ -54,6 +54,6 @@
     :param uniform: random number in [0, 1), which spreads the entries.
     """
     slack_seconds = max(MIN_WATCH_SECONDS, configuration_seconds - SPREAD_SECONDS)
-    longest = slack_seconds * max(1.0, entry_count / REPEATING_ENTRIES)
+    longest = slack_seconds * max(1.0, entry_count / ENTRIES_PER_WATCH)
     jitter = MIN_JITTER_SHARE + (1 - MIN_JITTER_SHARE) * uniform
     return max(MIN_WATCH_SECONDS, min(MAX_WATCH_SECONDS, longest) * jitter)
