Log lines and a figure that tell a forgotten revision from an old version

Every answer of the store now carries its era into items, listings and changes. `watch_answered_in_other_era` shows a watch that went on in another history, `configuration_not_newer` a version that was read and is not above the one in force; `configuration_adopted` and `members_listed` have the era; `store_era` is a gauge of an entry. The store stand-in of the tests can be restored from a copy.

No decision changes.

--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -47,6 +47,7 @@
         '_routes',
         'document',
         'peer_by_name',
+        'store_era',
     )
 
     def __init__(
@@ -68,6 +69,7 @@
         self._log = log
         self._is_behind = threading.Event()
         self.document = b'{}'
+        self.store_era = 0
         self.peer_by_name: dict[str, listings.Peer] = {}
 
     def start(self) -> None:
@@ -95,7 +97,8 @@
             self._bound_seconds, len(self.peer_by_name), random.random()
         )
 
-    def _post_adoption(self, items: typing.Iterable[store.Item]) -> None:
+    def _post_adoption(self, items: typing.Collection[store.Item]) -> None:
+        self.store_era = max((item.era for item in items), default=self.store_era)
         configuration_items = [
             item for item in items if item.key == self._platform.configuration_key
         ]
@@ -112,18 +115,29 @@
         except errors.PlatformFormatError as error:
             self._log('configuration_malformed', source=source, error=str(error))
             return
-        if self._routes.adopt(table):
-            for problem in table.problems:
-                self._log('route_bound_rejected', version=table.version, error=problem)
-            self.document = item.data
+        in_force = self._routes.version
+        if not self._routes.adopt(table):
             self._log(
-                'configuration_adopted',
+                'configuration_not_newer',
                 version=table.version,
-                routes=self._routes.count,
+                in_force=in_force,
                 source=source,
                 revision=item.revision,
+                era=item.era,
             )
-            self._on_adopted()
+            return
+        for problem in table.problems:
+            self._log('route_bound_rejected', version=table.version, error=problem)
+        self.document = item.data
+        self._log(
+            'configuration_adopted',
+            version=table.version,
+            routes=self._routes.count,
+            source=source,
+            revision=item.revision,
+            era=item.era,
+        )
+        self._on_adopted()
 
     def _catch_up(self) -> None:
         """Read the configuration whenever other entries follow a newer version."""
@@ -159,13 +173,13 @@
     def _read_from_peer(self, peer: listings.Peer) -> bool:
         address = typing.cast('addresses.Address', peer.metrics_address)
         try:
-            code, data = http_calls.call(
+            response = http_calls.call(
                 address, 'GET', PEER_PATH, None, PEER_TIMEOUT_SECONDS
             )
         except OSError as error:
             self._log('newer_version_unread', source=peer.name, error=str(error))
             return False
-        item = store.Item(self._platform.configuration_key, data, 0)
-        if code == _http.OK:
+        item = store.Item(self._platform.configuration_key, response.body, 0)
+        if response.code == _http.OK:
             self._loop.post(lambda: self._adopt(item, peer.name))
-        return code == _http.OK
+        return response.code == _http.OK
--- a/src/egretjunction/relay/_membership.py
+++ b/src/egretjunction/relay/_membership.py
@@ -66,7 +66,7 @@
         for _ in itertools.count():
             if self._is_watcher(listing):
                 self._on_watching(True)
-                self._watch(listing.revision)
+                self._watch(listing)
                 self._on_watching(False)
                 listing = self._list(allow_stale=False)
             else:
@@ -115,7 +115,7 @@
             self._settings.name, self._settings.domain, domain_by_entry
         )
 
-    def _watch(self, revision: int) -> None:
+    def _watch(self, listing: store.Listing) -> None:
         """Watch until changes were missed."""
 
         def on_changes(changes: store.Changes) -> None:
@@ -131,7 +131,7 @@
             self._store,
             listings.PREFIX,
             lambda: WATCH_SECONDS,
-            revision,
+            listing,
             on_changes,
             self._log,
         )
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -196,7 +196,7 @@
         listing = retry_until_answered(list_all, log, f'list {prefix}')
         on_listing(listing)
         watch_changes(
-            store_client, prefix, choose_wait_seconds, listing.revision, on_changes, log
+            store_client, prefix, choose_wait_seconds, listing, on_changes, log
         )
 
 
@@ -204,16 +204,18 @@
     store_client: store.Store,
     prefix: str,
     choose_wait_seconds: typing.Callable[[], float],
-    revision: int,
+    listing: store.Listing,
     on_changes: typing.Callable[[store.Changes], None],
     log: Logger,
 ) -> None:
-    """Watch a prefix from a revision until the store no longer keeps the changes.
+    """Watch a prefix from a listing until the store no longer keeps the changes.
 
     :param choose_wait_seconds: returns the longest duration of the next watch call.
     :param on_changes: called after each watch call, also without a change.
     """
 
+    revision = listing.revision
+
     def watch() -> store.Changes:
         return store_client.watch(prefix, revision, choose_wait_seconds())
 
@@ -223,5 +225,14 @@
         except store.HistoryGoneError:
             log('history_gone', prefix=prefix, revision=revision)
             return
+        if changes.era != listing.era:
+            log(
+                'watch_answered_in_other_era',
+                prefix=prefix,
+                after=revision,
+                known_era=listing.era,
+                era=changes.era,
+                revision=changes.revision,
+            )
         on_changes(changes)
         revision = max(revision, changes.revision)
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -135,6 +135,7 @@
         gauge('first_packets_and_searches_pending', lambda: self._flows.pending_count)
         gauge('members', lambda: len(self._members.member_by_name))
         gauge('configuration_version', lambda: self._routes.version)
+        gauge('store_era', lambda: self._configuration.store_era)
         gauge('datagrams_unsent', lambda: self._agents.dropped + self._clients.dropped)
 
     def _status(self) -> bytes:
@@ -261,7 +262,9 @@
         self._log(
             'members_listed',
             count=len(self._members.member_by_name),
+            listed=len(listing.items),
             revision=listing.revision,
+            era=listing.era,
         )
         self._tick()
         self._handle_early_packets()
--- a/src/egretjunction/relay/http_calls.py
+++ b/src/egretjunction/relay/http_calls.py
@@ -4,6 +4,7 @@
 import time
 
 import httptools
+import msgspec
 
 from egretjunction import addresses
 
@@ -13,14 +14,26 @@
 CONNECT_TIMEOUT_SECONDS = 0.7
 
 
+class Response(msgspec.Struct, frozen=True):
+    """A complete response.
+
+    :param code: status code.
+    :param header_by_name: header fields by their names in lower case.
+    """
+
+    code: int
+    body: bytes
+    header_by_name: dict[str, str]
+
+
 def call(
     address: addresses.Address,
     method: str,
     target: str,
     body: bytes | None,
     timeout_seconds: float,
-) -> tuple[int, bytes]:
-    """Make one HTTP call and return the status code and body of the response.
+) -> Response:
+    """Make one HTTP call and return its response.
 
     :param address: address to connect to; every call opens a new connection.
     :param target: path and query.
@@ -54,15 +67,21 @@
     return b'\r\n\r\n'.join((head, body or b''))
 
 
-class _ResponseBody:
-    """Collects a response body; the parser calls its methods."""
+class _ResponseParts:
+    """Collects headers and body of a response; the parser calls its methods."""
 
-    __slots__ = ('body', 'is_complete')
+    __slots__ = ('body', 'header_by_name', 'is_complete')
 
     def __init__(self) -> None:
         self.body = b''
+        self.header_by_name: dict[str, str] = {}
         self.is_complete = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header field."""
+        text = value.decode('ascii', 'replace')
+        self.header_by_name[name.decode('ascii', 'replace').lower()] = text
+
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body."""
         self.body += chunk
@@ -72,15 +91,15 @@
         self.is_complete = True
 
 
-def _receive(connection: socket.socket, deadline: float) -> tuple[int, bytes]:
-    """Return the status code and body of a response.
+def _receive(connection: socket.socket, deadline: float) -> Response:
+    """Return the response that arrives on a connection.
 
     :param deadline: time limit on the monotonic clock.
     :raises OSError: when the response is not complete by then, or too large.
     """
-    response = _ResponseBody()
-    parser = httptools.HttpResponseParser(response)
-    while not response.is_complete:
+    parts = _ResponseParts()
+    parser = httptools.HttpResponseParser(parts)
+    while not parts.is_complete:
         remaining_seconds = deadline - time.monotonic()
         if remaining_seconds <= 0:
             raise TimeoutError('response was not complete in time')
@@ -89,6 +108,6 @@
         if not received:
             raise OSError('connection closed before the response was complete')
         parser.feed_data(received)
-        if len(response.body) > MAX_BODY_BYTES:
+        if len(parts.body) > MAX_BODY_BYTES:
             raise OSError(f'response body exceeds {MAX_BODY_BYTES} bytes')
-    return parser.get_status_code(), response.body
+    return Response(parser.get_status_code(), parts.body, parts.header_by_name)
--- a/src/egretjunction/store.py
+++ b/src/egretjunction/store.py
@@ -15,11 +15,14 @@
     :param key: the key.
     :param data: its value.
     :param revision: revision of its last change, 0 when the key does not exist.
+    :param era: era of the service in which it was read. It rises each time when the
+        service is restored from an older copy; then revisions are given out again.
     """
 
     key: str
     data: bytes
     revision: int
+    era: int = 0
 
 
 class Listing(msgspec.Struct, frozen=True):
@@ -28,10 +31,12 @@
     :param items: the items.
     :param revision: revision of the service at which they were read; a watch from
         here misses no change.
+    :param era: era of the service in which they were read.
     """
 
     items: list[Item]
     revision: int
+    era: int = 0
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -40,11 +45,13 @@
     :param written: items that were written.
     :param deleted: keys that were deleted.
     :param revision: revision from which to continue the watch.
+    :param era: era of the service in which the watch was answered.
     """
 
     written: list[Item]
     deleted: list[str]
     revision: int
+    era: int = 0
 
 
 class HistoryGoneError(Exception):
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -9,10 +9,13 @@
 
 from egretjunction import addresses
 
+CUT = 0  # in place of a status: the connection is closed without a response
+
 
 class State:
     """Contents of the store, and the faults that it simulates.
 
+    :param era: number of times that the store was restored from a copy, plus one.
     :param oldest_revision: first revision that watches may start after.
     :param page: maximum number of items in one page of a listing.
     :param status: HTTP status of every response, unless 0.
@@ -21,6 +24,7 @@
     """
 
     def __init__(self):
+        self.era = 1
         self.revision = 1
         self.item_by_key = {}
         self.event_by_revision = {}
@@ -53,6 +57,21 @@
             self.changed.notify_all()
         return self.revision
 
+    def copy(self):
+        """Return a copy of the contents, to restore the store from."""
+        with self.changed:
+            return self.revision, dict(self.item_by_key), dict(self.event_by_revision)
+
+    def restore(self, copy):
+        """Restore the contents from a copy; waiting watches end without a response.
+
+        What was written since is forgotten, and its revisions are given out again.
+        """
+        with self.changed:
+            self.revision, self.item_by_key, self.event_by_revision = copy
+            self.era += 1
+            self.changed.notify_all()
+
     def events(self, prefix, after):
         """Return the events under a prefix after a revision."""
         return [
@@ -119,15 +138,20 @@
 
     def _kv_watch(self, query):
         after = int(query['after'])
-        if after < self.store.oldest_revision:
+        era = self.store.era
+        if not self.store.oldest_revision <= after <= self.store.revision:
             return 410, {}
         with self.store.changed:
             self.store.changed.wait_for(
-                lambda: self.store.events(query['prefix'], after),
+                lambda: (
+                    self.store.era != era or self.store.events(query['prefix'], after)
+                ),
                 int(query['wait_ms']) / 1000,
             )
+            if self.store.era != era:
+                return CUT, {}
             events = self.store.events(query['prefix'], after)
-        return 200, {'events': events, 'store_revision': self.store.revision}
+            return 200, {'events': events, 'store_revision': self.store.revision}
 
     def _kv_txn(self, body):
         for condition in body['expected_rev']:
@@ -141,12 +165,13 @@
         return 200, {'revision': revision}
 
     def _respond(self, code, body):
-        if self.store.is_silent:
+        if self.store.is_silent or code == CUT:
             self.close_connection = True
             return
         raw = json.dumps(body).encode()
         self.send_response(self.store.status or code)
         self.send_header('Content-Type', 'application/json')
+        self.send_header('Store-Era', str(self.store.era))
         self.send_header('Content-Length', str(len(raw)))
         self.end_headers()
         with contextlib.suppress(ConnectionError):  # closed by the caller
--- a/tests/platform/test_kv_store.py
+++ b/tests/platform/test_kv_store.py
@@ -26,7 +26,7 @@
 
 
 def test_missing_key_has_revision_0(store_and_client):
-    assert store_and_client[1].get('none') == store.Item('none', b'', 0)
+    assert store_and_client[1].get('none') == store.Item('none', b'', 0, era=1)
 
 
 def test_listing_combines_all_pages(store_and_client):
@@ -105,6 +105,26 @@
         kv_store.KvStore(address).get('p/1')
 
 
+def test_every_answer_states_the_era_of_the_store(store_and_client):
+    state, client = store_and_client
+    copy = state.copy()
+    client.put('p/1', b'a')
+    state.restore(copy)
+    client.put('p/2', b'b')
+    assert client.get('p/2').era == 2
+    assert client.get('p/1') == store.Item('p/1', b'', 0, era=2)
+    listing = client.list_prefix('p/')
+    assert (listing.era, [item.era for item in listing.items]) == (2, [2])
+    assert client.watch('p/', 1, 0.1).era == 2
+
+
+def test_era_that_is_not_a_number_raises_unavailable(store_and_client):
+    state, client = store_and_client
+    state.era = 'x'
+    with pytest.raises(errors.PlatformUnavailableError, match='store-era'):
+        client.list_prefix('p/')
+
+
 def test_value_that_is_not_base64_raises_unavailable(store_and_client):
     state, client = store_and_client
     state.write({'p/1': b'a'}, [])
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -269,6 +269,8 @@
     store_state.write({'op/config': _configuration(5)}, [])
     _wait_until(lambda: b'"version":5' in system.get('entry', '/status')[1])
     store_state.write({'op/config': _configuration(4, SERVICE)}, [])
+    _wait_until(lambda: 'event=configuration_not_newer' in system.log('entry'))
+    assert 'version=4 in_force=5 source=store' in system.log('entry')
     time.sleep(0.3)
     system.send(4003, SYN, 100)
     assert system.client_socket.recv(2048)[22] == RST
