--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -190,10 +190,12 @@
     server = http.server.HTTPServer(('127.0.0.1', 0), Handler)
     thread = threading.Thread(target=server.serve_forever, args=(0.01,))
     thread.start()
-    yield '{}:{}'.format(*server.server_address), requested_paths
-    server.shutdown()
-    thread.join()
-    server.server_close()
+    try:
+        yield '{}:{}'.format(*server.server_address), requested_paths
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
 
 
 def _wait_until(check):
--- /dev/null
+++ b/tests/relay/test_restored_store.py
@@ -0,0 +1,57 @@
+"""Entry processes while the store is restored from an older copy."""
+
+import contextlib
+import json
+import time
+
+import pytest
+
+from egretjunction.decisions import relay_watching
+from tests.platform import store_standin
+from tests.relay import test_daemons as daemons
+
+
+@pytest.fixture
+def running(tmp_path):
+    with store_standin.running() as (state, address):
+        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+        system = daemons._System(tmp_path, address)
+        with contextlib.closing(system):
+            system.start('agent')
+            system.start('entry')
+            daemons._wait_until(lambda: system.announce(1) == 200)
+            daemons._wait_until(
+                lambda: system.get('entry', '/readiness', system.http)[0] == 200
+            )
+            yield system, state
+
+
+def _await_version(system, version):
+    text = f'"version":{version},'.encode()
+    daemons._wait_until(lambda: text in system.get('entry', '/status')[1])
+
+
+def test_version_with_a_revision_given_out_again_is_adopted(running):
+    """Guards against watching on from a revision of the history before a restore."""
+    system, state = running
+    copy = state.copy()
+    known_revision = state.write({'op/config': daemons._configuration(5)}, [])
+    _await_version(system, 5)
+    state.status = 503
+    state.restore(copy)
+    assert state.write({'op/config': daemons._configuration(8)}, []) == known_revision
+    state.status = 0
+    _await_version(system, 8)
+
+
+def test_version_that_a_restore_took_away_is_read_from_a_peer(running):
+    """Guards against an old copy of the configuration taken for the newest version."""
+    system, state = running
+    newer = json.dumps({'version': 8, 'routes': []}).encode()
+    with daemons._peer(newer) as (address, _):
+        listed = {'domain': 'a', 'address': '127.0.10.8:1', 'figures': address}
+        state.write({'egretjunction/entries/e-2': json.dumps(listed).encode()}, [])
+        time.sleep(relay_watching.COALESCING_SECONDS + 0.2)
+        state.restore(state.copy())
+        system.ping_agent(8)
+        _await_version(system, 8)
