A watch ends when the store was restored since its revision

Cause: an entry went on watching from revision 19, learned before the restore. The store had given 19 out again, so that the watch was accepted and reported changes above 19 only; the version stood at 19. Evidence: `watch_answered_in_other_era prefix=op/config after=19 known_era=1 era=2 revision=19` at all four entries, no `history_gone` for that prefix.

Change: following a prefix stands in a module of its own. A watch answered in another era delivers nothing and leads to a new listing. After a failure, a pause or a suspension the era is read with a watch that returns at once, so that a long wait never starts in a history that may be gone.

--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -10,6 +10,7 @@
 from egretjunction import store
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_watching
+from egretjunction.relay import _following
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
 from egretjunction.relay import _process
@@ -83,7 +84,7 @@
             self._is_behind.set()
 
     def _follow_store(self) -> None:
-        _process.follow_prefix(
+        _following.follow_prefix(
             self._platform.store,
             self._platform.configuration_key,
             self._choose_watch_seconds,
--- /dev/null
+++ b/src/egretjunction/relay/_following.py
@@ -0,0 +1,94 @@
+"""Follows a prefix of the store: a listing, then watches for later changes.
+
+A revision means something only in the era in which it was learned. A store that is
+restored from an older copy gives revisions out again, so that a watch from a known one
+may be accepted and yet miss what was written before it.
+"""
+
+import itertools
+import time
+import typing
+
+from egretjunction import store
+from egretjunction.relay import _process
+
+# The store cannot be restored unnoticed between two watches that follow each other
+# this closely; after a longer gap, the era is read before the next long wait.
+MAX_GAP_SECONDS = 0.1
+CONFIRMING_WAIT_SECONDS = 0.001
+
+
+def follow_prefix(
+    store_client: store.Store,
+    prefix: str,
+    choose_wait_seconds: typing.Callable[[], float],
+    on_listing: typing.Callable[[store.Listing], None],
+    on_changes: typing.Callable[[store.Changes], None],
+    log: _process.Logger,
+) -> None:
+    """Watch a prefix of the store; never returns.
+
+    :param choose_wait_seconds: returns the longest duration of the next watch call.
+    :param on_listing: called with all items under the prefix, at first and whenever
+        changes were missed.
+    :param on_changes: called with later changes.
+    """
+
+    def list_all() -> store.Listing:
+        return store_client.list_prefix(prefix)
+
+    for _ in itertools.count():
+        listing = _process.retry_until_answered(list_all, log, f'list {prefix}')
+        on_listing(listing)
+        watch_changes(
+            store_client, prefix, choose_wait_seconds, listing, on_changes, log
+        )
+
+
+def watch_changes(
+    store_client: store.Store,
+    prefix: str,
+    choose_wait_seconds: typing.Callable[[], float],
+    listing: store.Listing,
+    on_changes: typing.Callable[[store.Changes], None],
+    log: _process.Logger,
+) -> None:
+    """Watch a prefix from a listing for as long as no change can have been missed.
+
+    Returns when the store no longer keeps the changes, or was restored since.
+
+    :param choose_wait_seconds: returns the longest duration of the next watch call.
+    :param on_changes: called after each watch call, also without a change.
+    """
+    revision = listing.revision
+    answered_at = _now()
+
+    def watch() -> store.Changes:
+        is_recent = _now() - answered_at <= MAX_GAP_SECONDS
+        wait_seconds = choose_wait_seconds() if is_recent else CONFIRMING_WAIT_SECONDS
+        return store_client.watch(prefix, revision, wait_seconds)
+
+    while True:
+        try:
+            changes = _process.retry_until_answered(watch, log, f'watch {prefix}')
+        except store.HistoryGoneError:
+            log('history_gone', prefix=prefix, revision=revision, era=listing.era)
+            return
+        if changes.era != listing.era:
+            log(
+                'watch_answered_in_other_era',
+                prefix=prefix,
+                after=revision,
+                known_era=listing.era,
+                era=changes.era,
+                revision=changes.revision,
+            )
+            return
+        answered_at = _now()
+        on_changes(changes)
+        revision = max(revision, changes.revision)
+
+
+def _now() -> float:
+    """Return the time in seconds, including time in which the machine was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/egretjunction/relay/_membership.py
+++ b/src/egretjunction/relay/_membership.py
@@ -8,6 +8,7 @@
 
 from egretjunction import store
 from egretjunction.decisions import relay_watching
+from egretjunction.relay import _following
 from egretjunction.relay import _process
 from egretjunction.relay import listings
 from egretjunction.relay import settings
@@ -127,7 +128,7 @@
             if changes.written or changes.deleted:
                 time.sleep(relay_watching.COALESCING_SECONDS)
 
-        _process.watch_changes(
+        _following.watch_changes(
             self._store,
             listings.PREFIX,
             lambda: WATCH_SECONDS,
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -1,6 +1,5 @@
 """Shared by both relay daemons: effects, signals, threads and calls to the store."""
 
-import itertools
 import signal
 import threading
 import time
@@ -9,7 +8,6 @@
 from egretjunction import _udp
 from egretjunction import errors
 from egretjunction import metrics
-from egretjunction import store
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.relay import _loop
 from egretjunction.relay import packets
@@ -171,68 +169,3 @@
         if failures:
             log('store_regained', call=call_name, failures=failures)
         return result
-
-
-def follow_prefix(
-    store_client: store.Store,
-    prefix: str,
-    choose_wait_seconds: typing.Callable[[], float],
-    on_listing: typing.Callable[[store.Listing], None],
-    on_changes: typing.Callable[[store.Changes], None],
-    log: Logger,
-) -> None:
-    """Watch a prefix of the store; never returns.
-
-    :param choose_wait_seconds: returns the longest duration of the next watch call.
-    :param on_listing: called with all items under the prefix, at first and whenever
-        changes were missed.
-    :param on_changes: called with later changes.
-    """
-
-    def list_all() -> store.Listing:
-        return store_client.list_prefix(prefix)
-
-    for _ in itertools.count():
-        listing = retry_until_answered(list_all, log, f'list {prefix}')
-        on_listing(listing)
-        watch_changes(
-            store_client, prefix, choose_wait_seconds, listing, on_changes, log
-        )
-
-
-def watch_changes(
-    store_client: store.Store,
-    prefix: str,
-    choose_wait_seconds: typing.Callable[[], float],
-    listing: store.Listing,
-    on_changes: typing.Callable[[store.Changes], None],
-    log: Logger,
-) -> None:
-    """Watch a prefix from a listing until the store no longer keeps the changes.
-
-    :param choose_wait_seconds: returns the longest duration of the next watch call.
-    :param on_changes: called after each watch call, also without a change.
-    """
-
-    revision = listing.revision
-
-    def watch() -> store.Changes:
-        return store_client.watch(prefix, revision, choose_wait_seconds())
-
-    while True:
-        try:
-            changes = retry_until_answered(watch, log, f'watch {prefix}')
-        except store.HistoryGoneError:
-            log('history_gone', prefix=prefix, revision=revision)
-            return
-        if changes.era != listing.era:
-            log(
-                'watch_answered_in_other_era',
-                prefix=prefix,
-                after=revision,
-                known_era=listing.era,
-                era=changes.era,
-                revision=changes.revision,
-            )
-        on_changes(changes)
-        revision = max(revision, changes.revision)
