An entry behind its peers asks them when the store has an older copy

What callers would see: an entry that starts after a restore, before the operator has written again, handles requests by a version that was confirmed and passed seconds ago.

Cause: agents report that a newer version is in force, but peers were asked only when the store gave no answer at all. A restored store answers, with the version that the entry already has.

Change: reading counts as caught up only when the version read is the newest one reported; otherwise peers are asked. Versions are decoded before they are handed to the loop, so that the reader can tell. A peer's error status is logged.

Before: test_version_that_a_restore_took_away_is_read_from_a_peer times out after 10 s. After: it passes.

--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -42,6 +42,7 @@
         '_is_behind',
         '_log',
         '_loop',
+        '_newest_version',
         '_on_adopted',
         '_own_name',
         '_platform',
@@ -69,6 +70,7 @@
         self._on_adopted = on_adopted
         self._log = log
         self._is_behind = threading.Event()
+        self._newest_version = 0
         self.document = b'{}'
         self.store_era = 0
         self.peer_by_name: dict[str, listings.Peer] = {}
@@ -81,6 +83,7 @@
     def note_version(self, version: int) -> None:
         """Start catching up when another entry follows a newer version."""
         if version > self._routes.version:
+            self._newest_version = max(self._newest_version, version)
             self._is_behind.set()
 
     def _follow_store(self) -> None:
@@ -100,22 +103,23 @@
 
     def _post_adoption(self, items: typing.Collection[store.Item]) -> None:
         self.store_era = max((item.era for item in items), default=self.store_era)
-        configuration_items = [
-            item for item in items if item.key == self._platform.configuration_key
-        ]
-
-        def adopt_all() -> None:
-            for item in configuration_items:
-                self._adopt(item, 'store')
+        for item in items:
+            if item.key == self._platform.configuration_key:
+                self._post_item(item, 'store')
 
-        self._loop.post(adopt_all)
-
-    def _adopt(self, item: store.Item, source: str) -> None:
+    def _post_item(self, item: store.Item, source: str) -> int:
+        """Have the loop adopt an item; return its version, 0 if it is malformed."""
         try:
             table = self._platform.read_routes(item.data)
         except errors.PlatformFormatError as error:
             self._log('configuration_malformed', source=source, error=str(error))
-            return
+            return 0
+        self._loop.post(lambda: self._adopt(table, item, source))
+        return table.version
+
+    def _adopt(
+        self, table: relay_routes.RouteTable, item: store.Item, source: str
+    ) -> None:
         in_force = self._routes.version
         if not self._routes.adopt(table):
             self._log(
@@ -144,23 +148,27 @@
         """Read the configuration whenever other entries follow a newer version."""
         pause_seconds = CATCH_UP_SECONDS
         while self._is_behind.wait():
-            is_read = self._read_from_store() or self._read_from_peers()
+            is_caught_up = self._read_from_store() or self._read_from_peers()
             pause_seconds = (
                 CATCH_UP_SECONDS
-                if is_read
+                if is_caught_up
                 else min(pause_seconds * 2, MAX_CATCH_UP_SECONDS)
             )
             time.sleep(pause_seconds)
             self._is_behind.clear()
 
     def _read_from_store(self) -> bool:
+        """Read the store's version; tell whether it is the newest one.
+
+        A store that was restored from an older copy may hold a version that the
+        entries have passed.
+        """
         try:
             item = self._platform.store.get(self._platform.configuration_key)
         except errors.PlatformUnavailableError as error:
             self._log('newer_version_unread', source='store', error=str(error))
             return False
-        self._post_adoption([item])
-        return True
+        return self._post_item(item, 'store') >= self._newest_version
 
     def _read_from_peers(self) -> bool:
         peers = [
@@ -181,6 +189,7 @@
             self._log('newer_version_unread', source=peer.name, error=str(error))
             return False
         item = store.Item(self._platform.configuration_key, response.body, 0)
-        if response.code == _http.OK:
-            self._loop.post(lambda: self._adopt(item, peer.name))
-        return response.code == _http.OK
+        if response.code != _http.OK:
+            self._log('newer_version_unread', source=peer.name, error=response.code)
+            return False
+        return self._post_item(item, peer.name) >= self._newest_version
