A starting entry is not ready while agents know a newer version

What callers would see: requests handled by a version that was confirmed and passed, from the readiness of a new entry until it has read the newer version from a peer.

Cause: an entry was ready with any version. After a restore the first one that it reads may be older than the one in force everywhere else; its first answers from agents say so.

Change: within the bound of configuration after its first listing, an entry that is behind the newest version reported is not ready. When nobody has that version, it serves after the bound with the one that it has.

Before: test_entry_started_on_an_older_copy_is_not_ready_before_the_newer_version fails (readiness 200, expected 503). After: it passes.

--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -180,8 +180,21 @@
         if self._draining_since is not None or not self._has_routes_and_members():
             return False
         now = self._clock()
-        is_settled = now - (self._members_listed_at or 0) >= SETTLE_SECONDS
-        return is_settled and not self._members.has_unreachable_service(now)
+        listed_seconds = now - (self._members_listed_at or 0)
+        if listed_seconds < SETTLE_SECONDS or self._is_starting_behind(listed_seconds):
+            return False
+        return not self._members.has_unreachable_service(now)
+
+    def _is_starting_behind(self, listed_seconds: float) -> bool:
+        """Tell whether agents know a newer version than this entry, which just started.
+
+        A store that was restored from an older copy gives a new entry a version that
+        the other entries have passed. When nobody has the newer one, the entry serves
+        with its version rather than not at all.
+        """
+        bound_seconds = self._settings.configuration_ms / MILLISECONDS_PER_SECOND
+        is_behind = self._flows.newest_version > self._routes.version
+        return is_behind and listed_seconds < bound_seconds
 
     def _on_client_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -55,3 +55,24 @@
         state.restore(state.copy())
         system.ping_agent(8)
         _await_version(system, 8)
+
+
+def test_entry_started_on_an_older_copy_is_not_ready_before_the_newer_version(tmp_path):
+    """Guards against requests handled by a version that its peers have passed."""
+    with store_standin.running() as (state, address):
+        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+        system = daemons._System(tmp_path, address)
+        with contextlib.closing(system):
+            system.start('agent')
+            daemons._wait_until(lambda: system.announce(1) == 200)
+            system.ping_agent(8)
+            system.start('entry')
+            _await_version(system, 3)
+            deadline = time.monotonic() + 1
+            while time.monotonic() < deadline:
+                assert system.get('entry', '/readiness', system.http)[0] == 503
+            state.write({'op/config': daemons._configuration(8, daemons.SERVICE)}, [])
+            daemons._wait_until(
+                lambda: system.get('entry', '/readiness', system.http)[0] == 200
+            )
+            assert b'"version":8,' in system.get('entry', '/status')[1]
