--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -21,6 +21,7 @@
     :param status: HTTP status of every response, unless 0.
     :param is_silent: whether calls get no response.
     :param loses_responses: whether writes take effect without a response.
+    :param before_response: called with the path of each read before it is performed.
     """
 
     def __init__(self):
@@ -33,6 +34,7 @@
         self.status = 0
         self.is_silent = False
         self.loses_responses = False
+        self.before_response = lambda _path: None
         self.changed = threading.Condition()
 
     def write(self, puts, deletes):
@@ -107,6 +109,7 @@
         """Log nothing."""
 
     def do_GET(self):
+        self.store.before_response(self.path)
         url = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         self._respond(
--- a/tests/platform/test_kv_store.py
+++ b/tests/platform/test_kv_store.py
@@ -118,6 +118,19 @@
     assert client.watch('p/', 1, 0.1).era == 2
 
 
+def test_listing_with_pages_of_two_eras_raises_unavailable(store_and_client):
+    """Guards against a listing that lacks processes and a watch that misses them."""
+    state, client = store_and_client
+    state.page = 2
+    state.write({f'p/{number}': b'x' for number in range(5)}, [])
+    state.before_response = lambda path: (
+        state.restore(state.copy()) if 'after=' in path and state.era == 1 else None
+    )
+    with pytest.raises(errors.PlatformUnavailableError, match='restored'):
+        client.list_prefix('p/')
+    assert len(client.list_prefix('p/').items) == 5
+
+
 def test_era_that_is_not_a_number_raises_unavailable(store_and_client):
     state, client = store_and_client
     state.era = 'x'
