A key that came back does not displace the agent at its address

What callers would see: an open flow is reset by an entry although its server lives, and an agent gets no new flows from some entries.

Cause: a listing was taken for newer than what agents say. After a restore it may hold the key of an agent that left and lack the one of an agent of another service that has its address since. The entry then knew the address only under the old service, never asked it for flows of its real one, and reset them as held by nobody. The agent was never told that its key is gone.

Ruled out: first packets for the wrong service (an agent declines offers for another one).

Change: a listed agent does not take the address of one that answers. A pong for another service than the listed one marks the member as mistaken: it gets no flows, and the agent is asked to list and announce itself. A search does not end with a reset while an address may answer for an unknown agent (up to 250 ms for one that is silent).

Two tests sent pongs with the tag of no service; they now send the one of the member's service.

--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -384,7 +384,9 @@
         candidates = [
             member for member in reachable if member.name not in search.denied
         ]
-        if not candidates and not self.members.is_complete(now):
+        if not candidates and (
+            self.members.has_unidentified(now) or not self.members.is_complete(now)
+        ):
             search.due_at = now + LISTING_SECONDS
             return []
         if not candidates:
@@ -552,11 +554,24 @@
 
     def _on_pong(
         self,
-        _pong: relaying.Pong,
-        _member: relay_members.Member,
+        pong: relaying.Pong,
+        member: relay_members.Member,
         _now: float,
     ) -> list[effects.Effect]:
-        return []
+        """Ask an agent that answers in place of the listed one to announce itself."""
+        was_mistaken = member.is_mistaken
+        listed_tag = relaying.compute_service_tag(member.service)
+        member.is_mistaken = pong.service_tag != listed_tag
+        if not member.is_mistaken:
+            return []
+        member.is_listed = False
+        if was_mistaken:
+            return []
+        ping = relaying.Ping(self.routes.version, is_unlisted=True)
+        return [
+            effects.Log('member_mistaken', member=member.name, service=member.service),
+            effects.Send(member.address, ping),
+        ]
 
     def _confirm_owner(self, flow: relay_pending.Flow, packet: packets.Packet) -> None:
         """Set the owner to the agent whose server the client has acknowledged.
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -37,7 +37,8 @@
     ``unanswered_since`` is the time of the oldest request without an answer,
     ``offered_flows`` the number of flows offered since the last status, ``used_at``
     the time of the last packet sent to it, and ``is_listed`` tells whether the store
-    holds the agent's key.
+    holds the agent's key. ``is_mistaken`` tells that its address answers for another
+    service than the listed one: the key is one of an agent that left.
 
     :param name: name of the agent.
     :param service: service of its backend server.
@@ -49,6 +50,7 @@
         'address',
         'domain',
         'is_listed',
+        'is_mistaken',
         'last_status_at',
         'name',
         'offered_flows',
@@ -71,6 +73,7 @@
         self.domain = domain
         self.address = address
         self.is_listed = True
+        self.is_mistaken = False
         self.unanswered_since = math.inf
         self.last_status_at = -math.inf
         self.pinged_at = -math.inf
@@ -101,8 +104,14 @@
         """Tell whether the agent is silent for so long that its flows count as lost."""
         return self.silent_seconds(now) > DEAD_AFTER_SECONDS
 
+    def is_identified(self) -> bool:
+        """Tell whether the listed agent itself has answered."""
+        return not self.is_mistaken and not math.isinf(self.last_status_at)
+
     def accepts_flows(self, now: float) -> bool:
         """Tell whether new flows may be offered to the agent."""
+        if self.is_mistaken:
+            return False
         return self.status.state == relaying.State.READY and not self.is_suspect(now)
 
     @property
@@ -165,6 +174,26 @@
         self._probed_by_service = None
         return member
 
+    def add_listed(self, member: Member, now: float) -> Member | None:
+        """Add or update a member that a listing contains; return it if it is new.
+
+        A listing of a store that was restored from an older copy may contain agents
+        that left. One of them does not displace an agent that answers at its address.
+        """
+        holder = self.member_by_address.get(member.address)
+        if holder is None or holder.name == member.name:
+            return self.add_or_update(member)
+        if holder.is_identified() and not holder.is_dead(now):
+            return None
+        return self.add_or_update(member)
+
+    def has_unidentified(self, now: float) -> bool:
+        """Tell whether an unknown agent may answer at the address of a listed one."""
+        return any(
+            not member.is_identified() and not member.is_suspect(now)
+            for member in self.member_by_name.values()
+        )
+
     def mark_unlisted(self, name: str) -> Member | None:
         """Record that the store no longer holds the key of a member."""
         member = self.member_by_name.get(name)
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -307,7 +307,7 @@
         if member is None:
             self._log('listing_malformed', key=item.key)
             return
-        if self._members.add_or_update(member) is not None:
+        if self._members.add_listed(member, self._clock()) is not None:
             self._log('member_listed', member=member.name, service=member.service)
 
 
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -168,7 +168,9 @@
 def test_first_packet_waits_while_every_server_is_full():
     entry = build.entry('m-1')
     _receive_and_decline(entry, build.first_packet(), 0)
-    emitted = _receive(entry, 'm-1', relaying.Pong(0, build.status(work=2)), 0.02)
+    emitted = _receive(
+        entry, 'm-1', relaying.Pong(build.SERVICE_TAG, build.status(work=2)), 0.02
+    )
     assert len(_offers(emitted)) == 1
 
 
@@ -201,7 +203,9 @@
     fresh = build.first_packet(build.flow_key(2))
     _receive_and_decline(entry, retransmitted, 0.1)
     _receive_and_decline(entry, fresh, 0.15)
-    emitted = _receive(entry, 'm-1', relaying.Pong(0, build.status(work=2)), 0.16)
+    emitted = _receive(
+        entry, 'm-1', relaying.Pong(build.SERVICE_TAG, build.status(work=2)), 0.16
+    )
     ((offer, _),) = _offers(emitted)
     assert offer.packet == fresh.raw
 
@@ -315,12 +319,12 @@
     assert list(entry.members.member_by_name) == ['n-1']
 
 
-def _denied_search(entry, now):
-    """Search for a flow that the member m-0 denies; return what is emitted then."""
+def _denied_search(entry, now, name='m-0'):
+    """Search for a flow that a member denies; return what is emitted then."""
     emitted = entry.on_client_packet(build.request(), now)
     (question,) = build.owner_questions(emitted)[0].message.questions
     return _receive(
-        entry, 'm-0', relaying.NotHeld([question.token], build.status()), now
+        entry, name, relaying.NotHeld([question.token], build.status()), now
     )
 
 
@@ -358,3 +362,50 @@
     emitted = [effect for tick in range(60) for effect in entry.tick(5 + tick * 0.025)]
     assert not build.of_type(emitted, effects.Reset)
     assert not entry.pending_count
+
+
+def _list_returned_key(entry, now, service=build.SERVICE):
+    """List a key of an agent that left; an agent of another service took its address."""
+    address = build.member_address('m-1')
+    returned = relay_members.Member('m-0', service, 'a', address)
+    entry.members.add_listed(returned, now)
+    return address
+
+
+def test_agent_at_a_reused_address_is_asked_to_announce_itself():
+    """Guards against a key that a restored store brought back."""
+    entry = build.entry()
+    address = _list_returned_key(entry, 0)
+    pong = relaying.Pong(relaying.compute_service_tag('surveys'), build.status())
+    emitted = entry.on_message(pong, address, 0.01)
+    ((ping, asked),) = build.sent_messages(emitted, relaying.Ping)
+    assert (ping.is_unlisted, asked) == (True, address)
+    assert not build.sent_messages(entry.on_message(pong, address, 0.02), relaying.Ping)
+    announcement = relaying.Announce('m-1', 'surveys', 'a', build.status())
+    entry.on_message(announcement, address, 0.03)
+    assert [
+        (member.name, member.service)
+        for member in entry.members.serving({'surveys', build.SERVICE})
+    ] == [('m-1', 'surveys')]
+
+
+def test_flow_is_not_reset_while_a_listed_agent_may_be_another_one():
+    """Guards against a reset of a flow at an agent whose key a restore took away."""
+    entry = build.entry('m-2')
+    address = _list_returned_key(entry, 0, 'surveys')
+    pong = relaying.Pong(build.SERVICE_TAG, build.status())
+    assert not _denied_search(entry, 0.01, 'm-2')
+    entry.on_message(pong, address, 0.02)
+    assert not build.of_type(entry.tick(0.05), effects.Reset)
+    announcement = relaying.Announce('m-1', build.SERVICE, 'a', build.status())
+    entry.on_message(announcement, address, 0.06)
+    assert address in _asked(entry.tick(0.1))
+
+
+def test_address_of_a_key_that_nobody_answers_for_does_not_hold_up_a_reset():
+    entry = build.entry('m-2')
+    _list_returned_key(entry, 0, 'surveys')
+    assert not _denied_search(entry, 0.01, 'm-2')
+    emitted = [effect for tick in range(20) for effect in entry.tick(0.025 * tick)]
+    (reset,) = build.of_type(emitted, effects.Reset)
+    assert reset.reason == 'nobody_holds_it'
--- a/tests/decisions/test_relay_members.py
+++ b/tests/decisions/test_relay_members.py
@@ -176,3 +176,21 @@
     assert not members.member_by_name['m-2'].is_listed
     members.mark_others_unlisted(set(), 60)
     assert not members.member_by_name['m-1'].is_listed
+
+
+def test_key_that_came_back_does_not_displace_an_answering_agent():
+    """Guards against a living agent that its entries forget after a restore."""
+    members = _members('m-1')
+    address = build.member_address('m-1')
+    returned = relay_members.Member('m-0', 'surveys', 'a', address)
+    assert members.add_listed(returned, 1) is None
+    assert list(members.member_by_name) == ['m-1']
+
+
+def test_listed_agent_takes_the_address_of_a_silent_one():
+    members = _members('m-1')
+    members.member_by_name['m-1'].record_request(1)
+    address = build.member_address('m-1')
+    new = relay_members.Member('m-0', 'surveys', 'a', address)
+    assert members.add_listed(new, 9) is new
+    assert list(members.member_by_name) == ['m-0']
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -18,6 +18,7 @@
 OTHER_ENTRY = addresses.Address('127.0.0.2', 7000)
 ROUTE = addresses.Address('198.18.0.1', 443)
 SERVICE = 'bookings'
+SERVICE_TAG = relaying.compute_service_tag(SERVICE)
 MAX_FLOW_SECONDS = 60.0
 KEY = b'\x64\x40\x00\x07\x9c\x41' + addresses.pack(ROUTE)
 
