Other content for the version in force is adopted from a restored store

What callers would see: a confirmed change that is never in force. An entry may adopt a version that the store loses before its writer knows that it was accepted. The writer may give the same version to another change; entries ignored that as not newer, for good.

Change: an item read from the store in a later era than the one adopted replaces the routes when it has the same version and other content. Within an era, and from peers, a version still has one content.

Before: test_other_content_under_a_known_version_is_adopted_after_a_restore times out. After: it passes.

--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -114,9 +114,14 @@
         """Return the number of routes in force."""
         return len(self._table.route_by_address)
 
-    def adopt(self, table: RouteTable) -> bool:
-        """Put a route table into force if it is newer; return whether it was."""
-        if table.version <= self._table.version:
+    def adopt(self, table: RouteTable, *, is_replacement: bool = False) -> bool:
+        """Put a route table into force if it is newer; return whether it was.
+
+        :param table: the routes of an accepted version.
+        :param is_replacement: whether it may replace other routes of the same version.
+        """
+        oldest = self._table.version + (not is_replacement)
+        if table.version < oldest:
             return False
         table.complete_bounds(self._table)
         self._table = table
--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -38,6 +38,7 @@
     """
 
     __slots__ = (
+        '_adopted_era',
         '_bound_seconds',
         '_is_behind',
         '_log',
@@ -71,6 +72,7 @@
         self._log = log
         self._is_behind = threading.Event()
         self._newest_version = 0
+        self._adopted_era = 0
         self.document = b'{}'
         self.store_era = 0
         self.peer_by_name: dict[str, listings.Peer] = {}
@@ -121,7 +123,8 @@
         self, table: relay_routes.RouteTable, item: store.Item, source: str
     ) -> None:
         in_force = self._routes.version
-        if not self._routes.adopt(table):
+        is_replacement = self._is_replacement(table, item)
+        if not self._routes.adopt(table, is_replacement=is_replacement):
             self._log(
                 'configuration_not_newer',
                 version=table.version,
@@ -134,8 +137,9 @@
         for problem in table.problems:
             self._log('route_bound_rejected', version=table.version, error=problem)
         self.document = item.data
+        self._adopted_era = item.era
         self._log(
-            'configuration_adopted',
+            'configuration_replaced' if is_replacement else 'configuration_adopted',
             version=table.version,
             routes=self._routes.count,
             source=source,
@@ -144,6 +148,16 @@
         )
         self._on_adopted()
 
+    def _is_replacement(self, table: relay_routes.RouteTable, item: store.Item) -> bool:
+        """Tell whether the store holds other content for the version in force.
+
+        A version that was adopted, but lost by the store before its writer knew that it
+        was accepted, may be given to another change after the restore.
+        """
+        if table.version != self._routes.version or item.era <= self._adopted_era:
+            return False
+        return item.data != self.document
+
     def _catch_up(self) -> None:
         """Read the configuration whenever other entries follow a newer version."""
         pause_seconds = CATCH_UP_SECONDS
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -76,3 +76,35 @@
                 lambda: system.get('entry', '/readiness', system.http)[0] == 200
             )
             assert b'"version":8,' in system.get('entry', '/status')[1]
+
+
+def test_other_content_under_a_known_version_is_adopted_after_a_restore(running):
+    """Guards against a version that was lost unconfirmed and hides the confirmed one."""
+    system, state = running
+    copy = state.copy()
+    state.write({'op/config': daemons._configuration(5, daemons.SERVICE)}, [])
+    _await_version(system, 5)
+    state.restore(copy)
+    state.write({'op/config': daemons._configuration(5)}, [])
+    daemons._wait_until(lambda: 'event=configuration_replaced' in system.log('entry'))
+    system.send(4011, daemons.SYN, 100)
+    assert system.client_socket.recv(2048)[22] == daemons.RST
+
+
+def test_processes_whose_keys_a_restore_took_away_list_themselves_again(tmp_path):
+    with store_standin.running() as (state, address):
+        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+        copy = state.copy()
+        system = daemons._System(tmp_path, address)
+        with contextlib.closing(system):
+            system.start('agent')
+            system.start('entry')
+            keys = {'egretjunction/agents/agent-1', 'egretjunction/entries/entry-1'}
+            daemons._wait_until(lambda: keys <= state.item_by_key.keys())
+            daemons._wait_until(lambda: system.announce(1) == 200)
+            daemons._wait_until(
+                lambda: system.get('entry', '/readiness', system.http)[0] == 200
+            )
+            state.restore(copy)
+            daemons._wait_until(lambda: keys <= state.item_by_key.keys())
+            system.open(4012)
