The platform's stand-in can be restored from an older copy

POST /admin/restore takes the age of the copy in seconds; the store keeps its recent contents. Every answer states the era, the client of the QUIC side reads it into items. Waiting watches are cut; revisions and leases are given out again. No decision changes.

--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -14,6 +14,7 @@
 ENTRIES_PREFIX = 'entries/'
 CALL_TIMEOUT_SECONDS = 3.0
 WATCH_SECONDS = 30.0
+ERA_HEADER = 'Store-Era'
 WATCH_GRACE_SECONDS = 5.0  # added to WATCH_SECONDS for the timeout of the call
 MAX_VALUE_BYTES = 1_000_000
 MAX_CONCURRENT_CALLS = 20
@@ -30,9 +31,9 @@
     value: str
     revision: int
 
-    def to_item(self) -> store.Item:
-        """Return the item as a ``store.Item``."""
-        return store.Item(self.key, self.value.encode(), self.revision)
+    def to_item(self, era: int) -> store.Item:
+        """Return the item, read in an era of the service, as a ``store.Item``."""
+        return store.Item(self.key, self.value.encode(), self.revision, era)
 
 
 class _Items(msgspec.Struct):
@@ -89,7 +90,8 @@
         try:
             response = await self._call('GET', f'/v1/kv?prefix={prefix}')
             listing = msgspec.json.decode(response.body, type=_Items)
-            return [item.to_item() for item in listing.items]
+            era = _read_era(response.headers)
+            return [item.to_item(era) for item in listing.items]
         except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
             raise errors.PlatformUnavailableError(
                 f'listing keys failed: {error}'
@@ -143,17 +145,18 @@
         try:
             response = await self._call('GET', path, timeout_seconds=timeout_seconds)
         except httpclient.HTTPClientError as error:
-            if error.code == HTTP_NOT_FOUND:
-                return store.Item(key, b'', 0)
+            if error.code == HTTP_NOT_FOUND and error.response is not None:
+                return store.Item(key, b'', 0, _read_era(error.response.headers))
             raise errors.PlatformUnavailableError(f'read failed: {error}') from error
         except OSError as error:
             raise errors.PlatformUnavailableError(f'read failed: {error}') from error
         try:
-            return msgspec.json.decode(response.body, type=_Item).to_item()
+            item = msgspec.json.decode(response.body, type=_Item)
         except msgspec.DecodeError as error:
             raise errors.PlatformUnavailableError(
                 f'response cannot be decoded: {error}'
             ) from error
+        return item.to_item(_read_era(response.headers))
 
     async def _write(
         self,
@@ -194,6 +197,16 @@
         return await self._client.fetch(request)
 
 
+def _read_era(headers: httputil.HTTPHeaders) -> int:
+    """Return the era of the service, 0 from a service that states none."""
+    try:
+        return int(headers.get(ERA_HEADER, '0'))
+    except ValueError as error:
+        raise errors.PlatformUnavailableError(
+            f'malformed header "{ERA_HEADER}": {error}'
+        ) from error
+
+
 def _decode_write_response(
     response: httpclient.HTTPResponse, response_type: type
 ) -> typing.Any:
--- a/src/egretjunction/standins/platform.py
+++ b/src/egretjunction/standins/platform.py
@@ -12,6 +12,7 @@
 
 MAX_VALUE_BYTES = 1_000_000
 LEASE_EXPIRY_INTERVAL_SECONDS = 0.2
+MAX_COPIES = 200  # older contents that the store may be restored from
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
@@ -42,6 +43,24 @@
     lease: int = 0
 
 
+class _RestoreRequest(msgspec.Struct):
+    seconds: float
+
+
+class _Copy(msgspec.Struct):
+    """Contents of the store after a change.
+
+    :param made_at: time of the change on the monotonic clock.
+    :param expiry_by_lease: time to live and expiry of each lease, in seconds.
+    """
+
+    made_at: float
+    stored_by_key: dict[str, '_StoredValue']
+    last_revision: int
+    last_lease: int
+    expiry_by_lease: dict[int, tuple[float, float]]
+
+
 class _LeaseRequest(msgspec.Struct):
     ttl_seconds: float
 
@@ -64,10 +83,13 @@
 class Store:
     """Stored keys, leases and call counters.
 
+    ``era`` rises by one each time when the store is restored from an older copy.
+
     :param platform_settings: rate limits of the service.
     """
 
     def __init__(self, platform_settings: settings.Platform) -> None:
+        self.era = 1
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self.stored_by_key: dict[str, _StoredValue] = {}
@@ -78,6 +100,26 @@
         self._window_start = float(0)
         self._calls_in_window: collections.Counter[str] = collections.Counter()
         self.changed = asyncio.Event()
+        self._copies: collections.deque[_Copy] = collections.deque(maxlen=MAX_COPIES)
+        self._keep_copy()
+
+    def restore(self, seconds: float) -> None:
+        """Restore the contents of some seconds ago; what was written since is lost.
+
+        Revisions and leases granted since are given out again.
+
+        :param seconds: age of the copy; the oldest one is taken when none is as old.
+        """
+        before = time.monotonic() - seconds
+        older = [copy for copy in self._copies if copy.made_at <= before]
+        copy = older[-1] if older else self._copies[0]
+        self.stored_by_key = dict(copy.stored_by_key)
+        self._last_revision = copy.last_revision
+        self._last_lease = copy.last_lease
+        self._expiry_by_lease = dict(copy.expiry_by_lease)
+        self.era += 1
+        self._copies.clear()
+        self._notify()
 
     def admit(self, kind: str) -> bool:
         """Count a call and return whether the rate limit admits it.
@@ -122,6 +164,7 @@
         self._last_lease += 1
         expiry = time.monotonic() + ttl_seconds
         self._expiry_by_lease[self._last_lease] = (ttl_seconds, expiry)
+        self._keep_copy()
         return self._last_lease
 
     def renew(self, lease: int) -> bool:
@@ -148,7 +191,18 @@
                 self.stored_by_key.pop(key)
                 self._notify()
 
+    def _keep_copy(self) -> None:
+        copy = _Copy(
+            time.monotonic(),
+            dict(self.stored_by_key),
+            self._last_revision,
+            self._last_lease,
+            dict(self._expiry_by_lease),
+        )
+        self._copies.append(copy)
+
     def _notify(self) -> None:
+        self._keep_copy()
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -167,6 +221,11 @@
         if self.store.faults.is_down:
             self._drop_connection()
 
+    def finish(self, chunk: str | bytes | None = None) -> 'asyncio.Future[None]':
+        """Finish the response, which states the era of the store."""
+        self.set_header('Store-Era', str(self.store.era))
+        return super().finish(chunk)
+
     def write_error(self, status_code: int, **_options: object) -> None:
         self.finish(f'{{"error": {status_code}}}')
 
@@ -193,10 +252,11 @@
         await super().prepare()
 
     async def get(self, key: str) -> None:
+        era = self.store.era
         if 'not_revision' in self.request.arguments:
             await self._wait_for_change(key)
         stored = self.store.read(key)
-        if self.store.faults.is_down:
+        if self.store.faults.is_down or self.store.era != era:
             self._drop_connection()
         if stored is None:
             raise web.HTTPError(HTTP_NOT_FOUND)
@@ -273,6 +333,16 @@
         self.finish('{}')
 
 
+class _RestoreHandler(web.RequestHandler):
+    def initialize(self, store: Store) -> None:
+        self.store = store
+
+    def post(self) -> None:
+        body = msgspec.json.decode(self.request.body, type=_RestoreRequest)
+        self.store.restore(body.seconds)
+        self.finish('{}')
+
+
 class _CallsHandler(web.RequestHandler):
     def initialize(self, store: Store) -> None:
         self.store = store
@@ -296,6 +366,7 @@
             ('/v1/leases', _LeasesHandler, handler_options),
             (r'/v1/leases/(\d+)/renew', _RenewalsHandler, handler_options),
             ('/admin/faults', _FaultsHandler, handler_options),
+            ('/admin/restore', _RestoreHandler, handler_options),
             ('/admin/calls', _CallsHandler, handler_options),
         ],
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -140,3 +140,24 @@
             await client.put('a', 'b', 0)
 
     _with_platform(scenario)
+
+
+def test_restored_store_forgets_later_writes_and_gives_revisions_out_again():
+    async def scenario(client, store):
+        await client.put('a', 'one', 0)
+        first = await client.get('a')
+        await asyncio.sleep(0.1)
+        revision = await client.put('b', 'lost', 0)
+        lease = await client.grant_lease(9)
+        watch = asyncio.create_task(client.watch('a', first.revision))
+        await asyncio.sleep(0.05)
+        store.restore(0.1)
+        with pytest.raises(errors.PlatformUnavailableError):
+            await watch
+        missing = await client.get('b')
+        assert (missing.revision, missing.era) == (0, first.era + 1)
+        assert (await client.get('a')).data == b'one'
+        assert await client.put('c', 'other', 0) == revision
+        assert await client.grant_lease(9) == lease
+
+    _with_platform(scenario)
