--- a/src/egretjunction/quic/entry.py
+++ b/src/egretjunction/quic/entry.py
@@ -28,6 +28,7 @@
 
 LEASE_SECONDS = 60.0
 HEAD_POLL_SECONDS = 60.0
+NO_REVISION = -1  # a watch of a head with another revision returns at once
 PLATFORM_RETRY_SECONDS = 1.0
 DRAIN_SECONDS = 3.0
 
@@ -62,7 +63,7 @@
         self._platform = platform.Platform(entry_settings.platform)
         self._drops = drops.DropCounter(self._metrics)
         self._stopped = asyncio.Event()
-        self._head_revision = -1
+        self._head_revision = NO_REVISION
 
     async def run(self) -> None:
         """Serve until the drain is complete."""
@@ -214,6 +215,8 @@
                 if was_available:
                     logs.get().warning('platform_unavailable', error=str(error))
                 was_available = False
+                # A restored platform may give the known revision to another head.
+                self._head_revision = NO_REVISION
                 self._metrics.count('platform_failures')
                 await asyncio.sleep(PLATFORM_RETRY_SECONDS)
 
