A lease of an earlier era is not renewed

What would be seen: an entry of the QUIC side leaves the registry for good, so that new agents do not find it, and keeps another process's key alive. A restored platform loses leases and gives their numbers out again; the entry renewed the number, which was another's.

Change: a lease is its number and the era in which it was granted. A renewal that is answered in another era counts as expired, and the entry registers anew.

After: test_lease_given_out_again_after_a_restore_is_not_renewed passes.

--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -97,13 +97,19 @@
                 f'listing keys failed: {error}'
             ) from error
 
-    async def put(self, key: str, value: str, revision: int, lease: int = 0) -> int:
+    async def put(
+        self,
+        key: str,
+        value: str,
+        revision: int,
+        lease: store.Lease | None = None,
+    ) -> int:
         """Write a key if its revision is still the expected one.
 
         :param key: the key.
         :param value: new value, up to ``MAX_VALUE_BYTES``.
         :param revision: the expected revision, 0 for a new key.
-        :param lease: lease whose expiry deletes the key, 0 for none.
+        :param lease: lease whose expiry deletes the key, if any.
         :return: the new revision.
         :raises errors.ConflictError: when the key has another revision.
         :raises errors.NotKnownError: when the write may have taken effect.
@@ -114,32 +120,34 @@
             raise errors.RefusedError(
                 f'value of "{key}" exceeds {MAX_VALUE_BYTES} bytes'
             )
-        body = {'value': value, 'if_revision': revision, 'lease': lease}
+        lease_number = 0 if lease is None else lease.number
+        body = {'value': value, 'if_revision': revision, 'lease': lease_number}
         response = await self._write('PUT', f'/v1/kv/{key}', body)
         return _decode_write_response(response, _Revision).revision
 
-    async def grant_lease(self, ttl_seconds: float) -> int:
+    async def grant_lease(self, ttl_seconds: float) -> store.Lease:
         """Create a lease.
 
         :param ttl_seconds: time until it expires unless it is renewed.
-        :return: the id of the lease.
         :raises errors.PlatformUnavailableError: when the service does not respond.
         """
         response = await self._write('POST', '/v1/leases', {'ttl_seconds': ttl_seconds})
-        return _decode_write_response(response, _Lease).lease
+        number = _decode_write_response(response, _Lease).lease
+        return store.Lease(number, _read_era(response.headers))
 
-    async def renew_lease(self, lease: int) -> bool:
+    async def renew_lease(self, lease: store.Lease) -> bool:
         """Renew a lease.
 
-        :param lease: the id of the lease.
-        :return: False when the lease has expired.
+        :param lease: the lease.
+        :return: False when the lease has expired, or was granted before the service was
+            restored: its number may belong to another process since.
         :raises errors.PlatformUnavailableError: when the service does not respond.
         """
         try:
-            await self._write('POST', f'/v1/leases/{lease}/renew', {})
+            response = await self._write('POST', f'/v1/leases/{lease.number}/renew', {})
         except errors.ConflictError:
             return False
-        return True
+        return _read_era(response.headers) == lease.era
 
     async def _read(self, path: str, key: str, timeout_seconds: float) -> store.Item:
         try:
--- a/src/egretjunction/quic/entry.py
+++ b/src/egretjunction/quic/entry.py
@@ -263,7 +263,7 @@
 
     async def _keep_registered(self) -> None:
         """Keep a leased registry record of this entry, for new processes to find."""
-        lease = 0
+        lease: store.Lease | None = None
         while not self._stopped.is_set():
             try:
                 if self._control.is_representative:
@@ -273,12 +273,12 @@
                 self._metrics.count('platform_failures')
                 await asyncio.sleep(PLATFORM_RETRY_SECONDS)
 
-    async def _register_or_renew(self, lease: int) -> int:
-        if lease and await self._platform.renew_lease(lease):
+    async def _register_or_renew(self, lease: store.Lease | None) -> store.Lease:
+        if lease is not None and await self._platform.renew_lease(lease):
             return lease
         lease = await self._platform.grant_lease(LEASE_SECONDS)
         key = platform.ENTRIES_PREFIX + self._settings.name
         item = await self._platform.get(key)
         await self._platform.put(key, str(self._settings.control), item.revision, lease)
-        logs.get().info('entry_registered', lease=lease)
+        logs.get().info('entry_registered', lease=lease.number, era=lease.era)
         return lease
--- a/src/egretjunction/store.py
+++ b/src/egretjunction/store.py
@@ -25,6 +25,17 @@
     era: int = 0
 
 
+class Lease(msgspec.Struct, frozen=True):
+    """A lease; keys that are written with it are deleted when it expires.
+
+    :param number: its number, which a restored service gives out again.
+    :param era: era of the service in which it was granted.
+    """
+
+    number: int
+    era: int = 0
+
+
 class Listing(msgspec.Struct, frozen=True):
     """The items under a prefix.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -101,7 +101,7 @@
         store.expire_leases()
         assert not await client.renew_lease(lease)
         assert (await client.get('a')).revision == 0
-        assert await client.grant_lease(1) > lease
+        assert (await client.grant_lease(1)).number > lease.number
 
     _with_platform(scenario)
 
@@ -158,6 +158,21 @@
         assert (missing.revision, missing.era) == (0, first.era + 1)
         assert (await client.get('a')).data == b'one'
         assert await client.put('c', 'other', 0) == revision
-        assert await client.grant_lease(9) == lease
+        assert (await client.grant_lease(9)).number == lease.number
+
+    _with_platform(scenario)
+
+
+def test_lease_given_out_again_after_a_restore_is_not_renewed():
+    """Guards against an entry that leaves the registry and renews another's lease."""
+
+    async def scenario(client, store):
+        lease = await client.grant_lease(9)
+        assert await client.renew_lease(lease)
+        store.restore(60)
+        other = await client.grant_lease(9)
+        assert other.number == lease.number
+        assert not await client.renew_lease(lease)
+        assert await client.renew_lease(other)
 
     _with_platform(scenario)
