A delayed swap stays possible while the head has an earlier revision

What operators would see: a change is called not accepted, and takes effect later. A swap without an answer counted as impossible once the head had another revision. After a restore the head has an earlier one, and may get the expected one again.

Change: only a later revision rules the swap out.

Before: test_delayed_swap_stays_possible_after_a_restore fails (PlatformUnavailableError instead of NotKnownError). After: it passes.

--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -221,7 +221,8 @@
     """A change that an operator tries to have accepted.
 
     ``_unknown_swap_revision`` is the revision that a swap without a response
-    expected. That swap may still take effect while the head has this revision.
+    expected. That swap may still take effect until the head has a later revision; the
+    head of a platform that was restored has an earlier one, and may get this one again.
 
     :param service: the platform.
     :param base: the document on which the edit is based.
@@ -267,7 +268,7 @@
         :return: whether the change is settled.
         """
         accepted = await read(self._service)
-        if self._unknown_swap_revision != accepted.revision:
+        if accepted.revision > (self._unknown_swap_revision or 0):
             self._unknown_swap_revision = None
         self.accepted_change = find(accepted, self.change_id)
         if self.accepted_change is not None:
--- a/tests/stepping.py
+++ b/tests/stepping.py
@@ -3,6 +3,8 @@
 import contextlib
 import types
 
+import msgspec
+
 from egretjunction import errors
 from egretjunction import store
 
@@ -22,6 +24,7 @@
         self.item_by_key = {}
         self.lease_by_key = {}
         self.revision = 0
+        self.era = 1
         self.lease_count = 0
         self.delayed_calls = []
 
@@ -53,8 +56,18 @@
             self.item_by_key.pop(key, None)
         self.lease_by_key.clear()
 
+    def copy(self):
+        """Return a copy of the contents, to restore the platform from."""
+        return self.revision, dict(self.item_by_key), dict(self.lease_by_key)
+
+    def restore(self, copy):
+        """Restore the contents from a copy; later revisions are given out again."""
+        self.revision, self.item_by_key, self.lease_by_key = copy
+        self.era += 1
+
     def _get(self, key):
-        return self.item_by_key.get(key, store.Item(key, b'', 0))
+        item = self.item_by_key.get(key, store.Item(key, b'', 0))
+        return msgspec.structs.replace(item, era=self.era)
 
     def _put(self, key, value, revision, lease):
         if self._get(key).revision != revision:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -124,6 +124,22 @@
     assert f'config settle {change_id}' in str(run.error)
 
 
+def test_delayed_swap_stays_possible_after_a_restore(service):
+    """Guards against a change called not accepted that takes effect later."""
+    copy = service.copy()
+    other = _apply(service, _document(), _document(photo=30), 'photo').finish()
+    assert other.result.generation == 2
+    run = _apply(service, _document(), _document(booking=20))
+    _step_until_swap(run)
+    run.step('late')
+    service.restore(copy)
+    while run.pending_call[0] == 'get':
+        run.step()
+    while not run.is_finished:
+        run.step('down')
+    assert isinstance(run.error, errors.NotKnownError)
+
+
 def test_concurrent_changes_of_different_sections_are_merged(service):
     base = _document()
     first = _apply(service, base, _document(booking=20))
