A change after a restore gets a generation that was never used

What callers would see: a confirmed change that is not in force, or a document that mixes two histories. Processes followed generation 2 of a history that the platform lost; the next operator's change was generation 2 as well, and was skipped everywhere as known. Its successor was then applied as a delta to the wrong document.

Change: the head records the era of the platform in which it was written. A change that is made in a later era skips 1000 generations.

Before: test_change_after_a_restore_gets_a_generation_that_was_never_used fails (2 > 2). After: it passes, and a process at the lost generation ends with the accepted document.

--- a/src/egretjunction/decisions/configuration.py
+++ b/src/egretjunction/decisions/configuration.py
@@ -15,6 +15,9 @@
 
 MAX_RECENT_BYTES = 8_000
 MAX_RECENT_CHANGES = 64
+# Generations skipped after the platform was restored from an older copy: more than the
+# changes of the few seconds that it may lose.
+SKIPPED_GENERATIONS = 1000
 
 
 def difference(
@@ -70,11 +73,25 @@
     return document.patched_sections(theirs, our_change)
 
 
+def next_generation(head: document_changes.Head | None, era: int) -> int:
+    """Return the generation of the next change, which was never used before.
+
+    Processes may follow generations that a restored platform has lost.
+
+    :param head: the head before the change, None for the first change.
+    :param era: era of the platform, 0 if unknown.
+    """
+    before, known_era = (0, 1) if head is None else (head.generation, head.era)
+    is_restored = 0 < known_era < era
+    return before + 1 + is_restored * SKIPPED_GENERATIONS
+
+
 def advance(
     head: document_changes.Head | None,
     change: document_changes.Change,
     snapshot_key: str,
     document_text: str,
+    era: int = 0,
 ) -> tuple[document_changes.Head, tuple[document_changes.Change, ...]]:
     """Return the head after a change and the changes that no longer fit in it.
 
@@ -82,6 +99,7 @@
     :param change: the change, with the next generation.
     :param snapshot_key: key under which the new document is stored.
     :param document_text: the new document.
+    :param era: era of the platform, 0 if unknown.
     """
     recent_before = () if head is None else head.recent
     recent = [*recent_before, change]
@@ -99,6 +117,7 @@
         snapshot_key=snapshot_key,
         snapshot_sha256=document.digest(document_text),
         recent=tuple(recent),
+        era=era,
     )
     return new_head, tuple(dropped)
 
--- a/src/egretjunction/document_changes.py
+++ b/src/egretjunction/document_changes.py
@@ -24,6 +24,7 @@
     :param snapshot_key: key of the whole document at this generation.
     :param snapshot_sha256: SHA-256 digest of that document.
     :param recent: the most recent changes, oldest first.
+    :param era: era of the platform in which it was written, 0 if unknown.
     """
 
     generation: int
@@ -31,3 +32,4 @@
     snapshot_key: str
     snapshot_sha256: str
     recent: tuple[Change, ...]
+    era: int = 0
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -47,16 +47,19 @@
     :param head: the head record, None before the first change.
     :param revision: the platform's revision of the head.
     :param document: the complete document.
+    :param era: era of the platform in which it was read.
     """
 
-    __slots__ = ('document', 'head', 'revision')
+    __slots__ = ('document', 'era', 'head', 'revision')
 
     def __init__(
         self,
         head: document_changes.Head | None,
         revision: int,
         document: document.Document,
+        era: int = 0,
     ) -> None:
+        self.era = era
         self.head = head
         self.revision = revision
         self.document = document
@@ -77,7 +80,7 @@
     """
     item = await service.get(platform.HEAD_KEY)
     if not item.revision:
-        return Accepted(None, 0, EMPTY)
+        return Accepted(None, 0, EMPTY, item.era)
     head = msgspec.json.decode(item.data, type=document_changes.Head)
     snapshot = await service.get(head.snapshot_key)
     if document.digest(snapshot.data.decode()) != head.snapshot_sha256:
@@ -85,7 +88,7 @@
             f'"{head.snapshot_key}" does not match the digest in the head',
         )
     accepted = document.parse(snapshot.data.decode(), head.snapshot_key)
-    return Accepted(head, item.revision, accepted)
+    return Accepted(head, item.revision, accepted, item.era)
 
 
 async def status_of(admin: str) -> bytes:
@@ -291,7 +294,9 @@
         key = snapshot_key(change)
         await _put_snapshot(self._service, key, text)
         self._snapshotted_change = change
-        head, evicted_changes = configuration.advance(accepted.head, change, key, text)
+        head, evicted_changes = configuration.advance(
+            accepted.head, change, key, text, accepted.era
+        )
         head_json = msgspec.json.encode(head).decode()
         try:
             await self._service.put(platform.HEAD_KEY, head_json, accepted.revision)
@@ -358,7 +363,7 @@
 ) -> document_changes.Change:
     now = datetime.datetime.now(datetime.UTC)
     return document_changes.Change(
-        generation=accepted.generation + 1,
+        generation=configuration.next_generation(accepted.head, accepted.era),
         change_id=change_id,
         who=author.who,
         team=author.team,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -140,6 +140,22 @@
     assert isinstance(run.error, errors.NotKnownError)
 
 
+def test_change_after_a_restore_gets_a_generation_that_was_never_used(service):
+    """Guards against two documents of one generation, one of which was lost."""
+    copy = service.copy()
+    lost = _apply(service, _document(), _document(booking=20)).finish().result
+    active = configuration.ActiveConfiguration()
+    active.apply_changes(_accepted(service).head.recent)
+    service.restore(copy)
+    assert configuration.next_generation(None, service.era) > lost.generation
+    new = _apply(service, _document(), _document(photo=30), 'photo').finish().result
+    assert new.generation > lost.generation
+    active.apply_changes(_accepted(service).head.recent)
+    assert active.generation == lost.generation
+    assert active.replace(new, _accepted(service).document.text())
+    assert active.document.text() == _accepted(service).document.text()
+
+
 def test_concurrent_changes_of_different_sections_are_merged(service):
     base = _document()
     first = _apply(service, base, _document(booking=20))
