--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -306,6 +306,7 @@
             self._unknown_swap_revision = accepted.revision
             raise
         self.accepted_change = change
+        await _ensure_snapshot(self._service, key, text)
         for evicted_change in evicted_changes:
             change_json = msgspec.json.encode(evicted_change).decode()
             logs.get().info('audit_exported', change=change_json)
@@ -381,6 +382,21 @@
         logs.get().info('snapshot_was_there', key=key)
 
 
+async def _ensure_snapshot(service: platform.Platform, key: str, text: str) -> None:
+    """Write the snapshot of an accepted change again if the platform has lost it.
+
+    A platform that was restored between the two writes has the head without it. A
+    failure is logged; the change is accepted all the same.
+    """
+    try:
+        item = await service.get(key)
+        if not item.revision:
+            logs.get().warning('snapshot_was_lost', key=key)
+            await _put_snapshot(service, key, text)
+    except errors.PlatformUnavailableError as error:
+        logs.get().warning('snapshot_unverified', key=key, error=str(error))
+
+
 async def _expire_snapshot(service: platform.Platform, key: str) -> None:
     """Expire a snapshot that is no longer needed, by attaching a short lease.
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -156,6 +156,16 @@
     assert active.document.text() == _accepted(service).document.text()
 
 
+def test_snapshot_that_a_restore_took_away_before_the_swap_is_written_again(service):
+    """Guards against an accepted head without its document."""
+    run = _apply(service, _document(), _document(booking=20))
+    copy = service.copy()
+    _step_until_swap(run)
+    service.restore(copy)
+    assert run.finish().result.generation == 2
+    assert _accepted(service).document.services['booking'].queue_limit == 20
+
+
 def test_concurrent_changes_of_different_sections_are_merged(service):
     base = _document()
     first = _apply(service, base, _document(booking=20))
