A listing right after a restore is not taken for complete

Cause: the copy was older than the agents' keys. The entry's listing had two keys and no agent (`members_listed count=0 listed=2 era=2`); it was fresh, so that the entry took its view for complete, and reset the flows of agents that list themselves 50 ms to 2 s later as `nobody_holds_it`. With no other entry alive, nobody told the agents that their keys were gone; they never listed themselves again.

Ruled out: agents that lost flows (they ran on, and answered other entries); a key that displaced another (mended before).

Change: an era is settled once living processes have had 3.5 s to list themselves; a key in the store says so to entries that start later. Until then no view is complete, and a starting entry is not ready.

Before: test_entry_started_right_after_a_restore_does_not_reset_open_flows fails, the flow never reaches its agent again.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -79,7 +79,7 @@
         if handler is None:
             return [effects.Log('message_unexpected', kind=type(message).__name__)]
         self._last_heard_by_entry[entry] = now
-        self._announcer.confirm(entry)
+        self._announcer.confirm(entry, now)
         return handler(message, entry, now)
 
     def on_server_packet(
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -24,6 +24,9 @@
 MAX_FAR_PING_SECONDS = 8.0  # agents send changes of state to entries heard of for 10 s
 FAR_SILENT_PING_SECONDS = 1.0
 FRESH_LISTING_SECONDS = 2.0  # agents listed since then announce themselves
+# After a restore, entries ask the agents that they know to list themselves within 1 s;
+# one that nobody knows does so after ``relay_announcing.ORPHAN_SECONDS``.
+SETTLING_SECONDS = 3.5
 USED_SECONDS = 2.0  # a member counts as in use for this long after the last packet
 MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
 OTHER_DOMAIN_PENALTY = 0.8  # share of its slots by which a near server may be fuller
@@ -152,6 +155,8 @@
         self.is_watched = False
         self.wants_listing = False
         self._listed_at = -math.inf
+        self._era = 0
+        self._settled_at = -math.inf
         self._probed_by_service: dict[str, list[Member]] | None = None
         self._probed_names: set[str] = set()
 
@@ -227,9 +232,29 @@
         An agent that is listed while this entry is not, since its key was taken away,
         announces itself to the other entries only.
         """
-        is_complete = self.is_watched or now - self._listed_at <= FRESH_LISTING_SECONDS
-        self.wants_listing = self.wants_listing or not is_complete
-        return is_complete
+        is_current = self.is_watched or now - self._listed_at <= FRESH_LISTING_SECONDS
+        self.wants_listing = self.wants_listing or not is_current
+        return is_current and self.is_settled(now)
+
+    def note_era(self, era: int, now: float, *, is_marked: bool) -> None:
+        """Record the era of a listing.
+
+        The listings of a new era may lack processes until these have found that their
+        keys are gone.
+
+        :param era: era of the store.
+        :param now: the time in seconds.
+        :param is_marked: whether the store tells that the era is settled.
+        """
+        if is_marked:
+            self._settled_at = -math.inf
+        elif era > self._era:
+            self._settled_at = now + SETTLING_SECONDS
+        self._era = max(self._era, era)
+
+    def is_settled(self, now: float) -> bool:
+        """Tell whether living processes have had time to list themselves."""
+        return now >= self._settled_at
 
     def remove(self, member: Member) -> None:
         """Remove a member."""
--- a/src/egretjunction/relay/_membership.py
+++ b/src/egretjunction/relay/_membership.py
@@ -7,6 +7,7 @@
 import typing
 
 from egretjunction import store
+from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_watching
 from egretjunction.relay import _following
 from egretjunction.relay import _process
@@ -67,6 +68,8 @@
         for _ in itertools.count():
             if self._is_watcher(listing):
                 self._on_watching(True)
+                if not listings.is_era_marked(listing):
+                    self._start_marking(listing.era)
                 self._watch(listing)
                 self._on_watching(False)
                 listing = self._list(allow_stale=False)
@@ -109,6 +112,23 @@
             'put own listing',
         )
 
+    def _start_marking(self, era: int) -> None:
+        """Start a thread that marks an era once its listings can be complete."""
+        if era:
+            _process.start(lambda: self._mark_era(era), self._log)
+
+    def _mark_era(self, era: int) -> None:
+        time.sleep(relay_members.SETTLING_SECONDS + random.random())
+        item = _process.retry_until_answered(
+            lambda: self._store.get(listings.ERA_KEY), self._log, 'get era'
+        )
+        if item.era != era or listings.marks_era(item, era):
+            return
+        _process.retry_until_answered(
+            lambda: self._store.put(*listings.era_item(era)), self._log, 'put era'
+        )
+        self._log('era_settled', era=era)
+
     def _is_watcher(self, listing: store.Listing) -> bool:
         peers = [listings.read_entry(item) for item in listing.items]
         domain_by_entry = {peer.name: peer.domain for peer in peers if peer is not None}
@@ -125,6 +145,8 @@
             if own_key in changes.deleted:
                 self._log('own_listing_lost', key=own_key)
                 self._put_own()
+            if listings.ERA_KEY in changes.deleted:
+                self._start_marking(changes.era)
             if changes.written or changes.deleted:
                 time.sleep(relay_watching.COALESCING_SECONDS)
 
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -48,11 +48,14 @@
         self._server = relay_server.Server(
             agent_settings.service, agent_settings.heartbeat_ms / 1000
         )
+        self._announcer = relay_announcing.Announcer(
+            agent_settings.name, agent_settings.domain
+        )
         self._flows = relay_agent.AgentFlows(
             self._server,
             platform.codec,
             agent_settings.max_flow_seconds,
-            relay_announcing.Announcer(agent_settings.name, agent_settings.domain),
+            self._announcer,
         )
         self._listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
@@ -173,6 +176,8 @@
         now = self._clock()
         self._executor.apply(self._flows.tick(now))
         if self._draining_since is None:
+            if self._announcer.should_list_again(now):
+                self._start_listing()
             return
         drained_seconds = now - self._draining_since
         is_idle = self._server.is_gone or not self._flows.active_requests(now)
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -68,6 +68,7 @@
             entry_settings.max_flow_seconds,
         )
         self._members_listed_at: float | None = None
+        self._has_been_ready = False
         self._early_packets: collections.deque[tuple[float, packets.Packet]] = (
             collections.deque(maxlen=MAX_EARLY_PACKETS)
         )
@@ -181,20 +182,25 @@
             return False
         now = self._clock()
         listed_seconds = now - (self._members_listed_at or 0)
-        if listed_seconds < SETTLE_SECONDS or self._is_starting_behind(listed_seconds):
+        if listed_seconds < SETTLE_SECONDS or self._members.has_unreachable_service(
+            now
+        ):
             return False
-        return not self._members.has_unreachable_service(now)
+        self._has_been_ready = self._has_been_ready or self._is_informed(listed_seconds)
+        return self._has_been_ready
 
-    def _is_starting_behind(self, listed_seconds: float) -> bool:
-        """Tell whether agents know a newer version than this entry, which just started.
+    def _is_informed(self, listed_seconds: float) -> bool:
+        """Tell whether a starting entry knows what the others know, as far as it can.
 
         A store that was restored from an older copy gives a new entry a version that
-        the other entries have passed. When nobody has the newer one, the entry serves
-        with its version rather than not at all.
+        the other entries have passed, and a listing that may lack agents. When nobody
+        has the newer version, the entry serves with its own rather than not at all.
         """
         bound_seconds = self._settings.configuration_ms / MILLISECONDS_PER_SECOND
         is_behind = self._flows.newest_version > self._routes.version
-        return is_behind and listed_seconds < bound_seconds
+        if is_behind and listed_seconds < bound_seconds:
+            return False
+        return self._members.is_settled(self._clock())
 
     def _on_client_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
@@ -262,6 +268,8 @@
         self, listing: store.Listing, *, is_stale: bool = False
     ) -> None:
         now = self._clock()
+        is_marked = listing.era == 0 or listings.is_era_marked(listing)
+        self._members.note_era(listing.era, now, is_marked=is_marked)
         names = set()
         self._configuration.peer_by_name.clear()
         for item in listing.items:
@@ -292,10 +300,14 @@
                 key.removeprefix(listings.ENTRIES_PREFIX), None
             )
         for item in changes.written:
+            if listings.marks_era(item, changes.era):
+                self._members.note_era(changes.era, self._clock(), is_marked=True)
             self._add_process(item)
 
     def _add_process(self, item: store.Item) -> None:
         """Add the agent or the entry that an item lists."""
+        if item.key == listings.ERA_KEY:
+            return
         peer = listings.read_entry(item)
         if peer is None:
             self._add_member(item)
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -9,6 +9,8 @@
 PREFIX = 'egretjunction/'
 AGENTS_PREFIX = 'egretjunction/agents/'
 ENTRIES_PREFIX = 'egretjunction/entries/'
+# Holds the era in which all processes have had time to list themselves.
+ERA_KEY = 'egretjunction/era'
 
 
 class _AgentListing(msgspec.Struct):
@@ -57,6 +59,21 @@
     return ENTRIES_PREFIX + name, msgspec.json.encode(listing)
 
 
+def era_item(era: int) -> tuple[str, bytes]:
+    """Return the key and the value that mark an era as settled."""
+    return ERA_KEY, str(era).encode()
+
+
+def marks_era(item: store.Item, era: int) -> bool:
+    """Tell whether an item marks an era as settled."""
+    return (item.key, item.data) == era_item(era)
+
+
+def is_era_marked(listing: store.Listing) -> bool:
+    """Tell whether a listing marks its own era as settled."""
+    return any(marks_era(item, listing.era) for item in listing.items)
+
+
 def read_agent(item: store.Item) -> relay_members.Member | None:
     """Return the agent that an item lists, None when it lists no agent."""
     if not item.key.startswith(AGENTS_PREFIX):
--- /dev/null
+++ b/tests/relay/soaking.py
@@ -0,0 +1,340 @@
+"""A soak of relay processes: restores of the store, signals and changes overlap.
+
+``python -m tests.relay.soaking --seeds 50`` plays seeds one after the other.
+"""
+
+import argparse
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import random
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from tests.platform import store_standin
+from tests.relay import soak_traffic
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+SERVICE = 'soaked'
+START_SECONDS = 15
+QUIET_SECONDS = 6  # at the end: the outage's aftermath, then the bound
+BOUND_SECONDS = 3.0
+CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
+
+
+class Process:
+    """An entry or agent process that is restarted under its name.
+
+    :param soak: the soak that it belongs to.
+    :param role: ``entry`` or ``agent``.
+    :param number: number of the process, from 1.
+    """
+
+    def __init__(self, soak, role, number):
+        network = 1 if role == 'entry' else 2
+        self.host = f'127.{soak.network}.{network}.{number}'
+        self.role = role
+        self.name = f'{role}-{number}'
+        self.log_path = soak.folder / f'{self.name}.log'
+        self._settings_path = soak.folder / f'{self.name}.ini'
+        self._settings_path.write_text(self._settings(soak), 'utf-8')
+        self.started_at = 0.0
+        self.is_stopping = False
+
+    def _settings(self, soak):
+        own = {
+            'entry': f'clients = {self.host}:{CLIENTS}\nagents = {self.host}:{AGENTS}\n'
+            f'configuration_ms = {BOUND_SECONDS * 1000:.0f}\n',
+            'agent': f'service = {SERVICE}\nentries = {self.host}:{CLIENTS}\n'
+            f'outbound = {self.host}:{OUTBOUND}\nbackend = {self.host}:{BACKEND}\n'
+            f'announcements = {self.host}:{ANNOUNCEMENTS}\nheartbeat_ms = 500\n',
+        }
+        return (
+            f'[relay-{self.role}]\nname = {self.name}\ndomain = a\n{own[self.role]}'
+            f'ready = {self.host}:{READY}\nmetrics = {self.host}:{METRICS}\n'
+            f'platform = {soak.store}\ngrace_seconds = 6\nmax_flow_seconds = 60\n'
+        )
+
+    def start(self):
+        """Start the process."""
+        self.is_stopping = False
+        self.started_at = time.time()
+        with self.log_path.open('ab') as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, str(ROOT / 'platform' / '__main__.py'), self.role],
+                env={'EGRETJUNCTION_NODE_FILE': str(self._settings_path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def get(self, port, path):
+        """Return status and body of a GET request."""
+        connection = http.client.HTTPConnection(self.host, port, timeout=0.5)
+        with contextlib.closing(connection):
+            connection.request('GET', path)
+            response = connection.getresponse()
+            return response.status, response.read()
+
+    def is_ready(self):
+        """Tell whether the routers may use the process."""
+        try:
+            return self.get(READY, '/readiness')[0] == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def version(self):
+        """Return the version in force, None when the process does not answer."""
+        try:
+            return json.loads(self.get(METRICS, '/status')[1])['version']
+        except (OSError, http.client.HTTPException):
+            return None
+
+
+class Soak:
+    """One seeded run.
+
+    :param seed: decides what happens when.
+    :param folder: for settings and logs.
+    :param entry_count: number of entries.
+    :param agent_count: number of agents, each with a server.
+    """
+
+    def __init__(self, seed, folder, entry_count, agent_count):
+        self.draw = random.Random(seed)
+        self.network = 40 + seed % 160
+        self.folder = pathlib.Path(folder)
+        self.violations = []
+        self.confirmed = []
+        self.copies = []
+        self.events = []
+        self._counts = entry_count, agent_count
+        self._is_over = threading.Event()
+        self._version = 0
+        self._restores = 0
+
+    def run(self, seconds):
+        """Play the run; return what was broken."""
+        with store_standin.running() as (state, self.store):
+            self.state = state
+            self._confirm()
+            self._start()
+            try:
+                self._play(seconds)
+            finally:
+                self._stop()
+        self._check_regressions()
+        return self.violations
+
+    def _start(self):
+        entry_count, agent_count = self._counts
+        self.entries = [Process(self, 'entry', n + 1) for n in range(entry_count)]
+        self.agents = [Process(self, 'agent', n + 1) for n in range(agent_count)]
+        self.servers = [
+            soak_traffic.Server((a.host, BACKEND), (a.host, OUTBOUND), number)
+            for number, a in enumerate(self.agents, 1)
+        ]
+        self.clients = soak_traffic.Clients(
+            f'127.{self.network}.3.1', CLIENTS, self.draw
+        )
+        for process in (*self.agents, *self.entries):
+            process.start()
+        self.ready_hosts = []
+        for task in (self._send_heartbeats, self._check_readiness):
+            threading.Thread(target=task, daemon=True).start()
+        deadline = time.monotonic() + START_SECONDS
+        while len(self.ready_hosts) < entry_count and time.monotonic() < deadline:
+            soak_traffic.receive_all([*self.servers, self.clients], 0.02)
+
+    def _stop(self):
+        self._is_over.set()
+        for process in (*self.agents, *self.entries):
+            process.popen.kill()
+            process.popen.wait()
+
+    def _play(self, seconds):
+        self.clients.open(10 * len(self.agents))
+        begun_at = time.monotonic()
+        next_at = begun_at + 1
+        while (elapsed := time.monotonic() - begun_at) < seconds + QUIET_SECONDS:
+            if elapsed < seconds and time.monotonic() >= next_at:
+                self._disturb()
+                next_at = time.monotonic() + self.draw.uniform(0.05, 1.2)
+            self._run_due()
+            if self.ready_hosts:
+                addresses = [(host, CLIENTS) for host in self.ready_hosts]
+                self.clients.send_due(addresses, time.monotonic())
+            soak_traffic.receive_all([*self.servers, self.clients], 0.01)
+        newest = self.confirmed[-1][1]
+        for entry in self.entries:
+            if entry.version() != newest:
+                self.violations.append((entry.name, 'version', entry.version(), newest))
+        self.violations += self.clients.broken
+
+    def _run_due(self):
+        now = time.monotonic()
+        due = [event for event in self.events if event[0] <= now]
+        self.events = [event for event in self.events if event[0] > now]
+        for _, action in due:
+            action()
+        for process in (*self.agents, *self.entries):
+            if process.popen.poll() is not None:
+                process.start()
+
+    def _later(self, seconds, action):
+        self.events.append((time.monotonic() + seconds, action))
+
+    def _disturb(self):
+        actions = [
+            (self._confirm, 6),
+            (self._restore, 3),
+            (self._fail_store, 1),
+            (lambda: self._signal(signal.SIGKILL), 2),
+            (lambda: self._signal(signal.SIGTERM), 2),
+            (lambda: self._signal(signal.SIGHUP), 1),
+            (self._freeze, 1),
+        ]
+        choices, weights = zip(*actions, strict=True)
+        self.draw.choices(choices, weights)[0]()
+
+    def _confirm(self):
+        """Have the operator write a version, unless the store is away."""
+        if self.state.status or self.state.is_silent:
+            return
+        self._version += self.draw.randint(1, 3)
+        self._write_newest(self._version)
+        self.confirmed.append((time.time(), self._version))
+        self.copies.append((time.monotonic(), self.state.copy()))
+
+    def _write_newest(self, version):
+        route = {'name': 'r', 'host': soak_traffic.ROUTE[0]}
+        route |= {'prefix': f'/{soak_traffic.ROUTE[1]}/', 'service': SERVICE}
+        route |= {'timeout_ms': 8000, 'target_latency_ms': 500}
+        others = [
+            {**route, 'name': f'r{n}', 'prefix': f'/{1000 + n}/'}
+            for n in range(version % 5)
+        ]
+        document = {'version': version, 'routes': [route, *others]}
+        self.state.write({'op/config': json.dumps(document).encode()}, [])
+
+    def _restore(self):
+        """Take the store away, and bring it back from a copy some seconds old."""
+        if self.state.status or self.state.is_silent:
+            return
+        self._fail_store()
+        age = self.draw.uniform(0.5, 9)
+        before = time.monotonic() - age
+        older = [copy for at, copy in self.copies if at <= before]
+        copy = (older or [self.copies[0][1]])[-1]
+        self.copies = [(at, kept) for at, kept in self.copies if at <= before] or [
+            self.copies[0]
+        ]
+        self._restores += 1
+        self.state.restore((copy[0], dict(copy[1]), dict(copy[2])))
+
+    def _fail_store(self):
+        if self.draw.random() < 0.5:
+            self.state.status = 503
+        else:
+            self.state.is_silent = True
+        self._later(self.draw.uniform(0.1, 2), self._regain_store)
+
+    def _regain_store(self):
+        """Bring the store back; the operator writes its newest version again soon."""
+        self.state.status = 0
+        self.state.is_silent = False
+        self._later(self.draw.uniform(0, 0.6), self._write_again)
+
+    def _write_again(self):
+        if not self.state.status and not self.state.is_silent:
+            self._write_newest(self.confirmed[-1][1])
+
+    def _signal(self, number):
+        process = self.draw.choice([*self.entries, *self.agents])
+        others = self.entries if process.role == 'entry' else self.agents
+        if process.is_stopping or any(other.is_stopping for other in others):
+            return
+        if number != signal.SIGHUP:
+            process.is_stopping = True
+        process.popen.send_signal(number)
+
+    def _freeze(self):
+        process = self.draw.choice([*self.entries, *self.agents])
+        process.popen.send_signal(signal.SIGSTOP)
+        frozen = process.popen
+
+        def wake():
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(frozen.pid, signal.SIGCONT)
+
+        self._later(self.draw.uniform(0.2, 1.5), wake)
+
+    def _send_heartbeats(self):
+        sequence = 0
+        while not self._is_over.wait(0.4):
+            sequence += 1
+            for agent in self.agents:
+                body = {'service': SERVICE, 'capacity': 50, 'state': 'ready'}
+                body |= {'born': 1000, 'sequence': sequence}
+                connection = http.client.HTTPConnection(
+                    agent.host, ANNOUNCEMENTS, timeout=0.3
+                )
+                with (
+                    contextlib.closing(connection),
+                    contextlib.suppress(OSError, http.client.HTTPException),
+                ):
+                    connection.request('PUT', '/instances/i-1', json.dumps(body))
+                    connection.getresponse().read()
+
+    def _check_readiness(self):
+        while not self._is_over.wait(0.2):
+            self.ready_hosts = [e.host for e in self.entries if e.is_ready()]
+
+    def _check_regressions(self):
+        """Check from the logs that no entry went back and that none is late."""
+        adopted = re.compile(r'event=(\w+) .*?at=([\d.]+)(?:.*?version=(\d+))?')
+        for entry in self.entries:
+            version = 0
+            for line in entry.log_path.read_text('utf-8').splitlines():
+                match = adopted.search(line)
+                if match and match[1] == 'entry_started':
+                    version = 0
+                if match and match[1] == 'configuration_adopted':
+                    if int(match[3]) <= version:
+                        self.violations.append((entry.name, 'went back', line))
+                    version = int(match[3])
+
+    def summary(self):
+        """Return what happened, in one line."""
+        return (
+            f'{len(self.confirmed)} versions, {self._restores} restores, '
+            f'{self.clients.answers} answers, {self.clients.unanswered} unanswered, '
+            f'{self.clients.unopened} unopened'
+        )
+
+
+def main():
+    """Play the seeds given on the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seeds', type=int, default=50)
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=12)
+    parser.add_argument('--entries', type=int, default=3)
+    parser.add_argument('--agents', type=int, default=3)
+    options = parser.parse_args()
+    for seed in range(options.first, options.first + options.seeds):
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
+        soak = Soak(seed, folder, options.entries, options.agents)
+        violations = soak.run(options.seconds)
+        sys.stdout.write(f'seed {seed}: {soak.summary()}, broken: {violations[:3]}\n')
+        sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -37,6 +37,7 @@
 ACK = 2
 RST = 64
 WAIT_SECONDS = 10
+SETTLED = dict([listings.era_item(1)])  # the store's first era, not just restored
 
 
 class _System:
@@ -226,6 +227,7 @@
 @pytest.fixture
 def running(tmp_path):
     with store_standin.running() as (store_state, address):
+        store_state.write(SETTLED, [])
         store_state.write({'op/config': _configuration(3, SERVICE)}, [])
         system = _System(tmp_path, address)
         with contextlib.closing(system):
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -14,6 +14,7 @@
 @pytest.fixture
 def running(tmp_path):
     with store_standin.running() as (state, address):
+        state.write(daemons.SETTLED, [])
         state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
         system = daemons._System(tmp_path, address)
         with contextlib.closing(system):
@@ -60,6 +61,7 @@
 def test_entry_started_on_an_older_copy_is_not_ready_before_the_newer_version(tmp_path):
     """Guards against requests handled by a version that its peers have passed."""
     with store_standin.running() as (state, address):
+        state.write(daemons.SETTLED, [])
         state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
         system = daemons._System(tmp_path, address)
         with contextlib.closing(system):
@@ -93,6 +95,7 @@
 
 def test_processes_whose_keys_a_restore_took_away_list_themselves_again(tmp_path):
     with store_standin.running() as (state, address):
+        state.write(daemons.SETTLED, [])
         state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
         copy = state.copy()
         system = daemons._System(tmp_path, address)
@@ -108,3 +111,40 @@
             state.restore(copy)
             daemons._wait_until(lambda: keys <= state.item_by_key.keys())
             system.open(4012)
+
+
+def test_entry_started_right_after_a_restore_does_not_reset_open_flows(tmp_path):
+    """Guards against a listing that lacks living agents taken for complete."""
+    with store_standin.running() as (state, address):
+        state.write(daemons.SETTLED, [])
+        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+        copy = state.copy()
+        system = daemons._System(tmp_path, address)
+        with contextlib.closing(system):
+            system.start('agent')
+            system.start('entry')
+            daemons._wait_until(lambda: system.announce(1) == 200)
+            daemons._wait_until(
+                lambda: system.get('entry', '/readiness', system.http)[0] == 200
+            )
+            system.open(4013)
+            system.send(4013, daemons.ACK, 101, 501, b'x')
+            system.server_socket.recv(2048)
+            system.answer(4013, daemons.ACK, 501, b'y')
+            system.processes['entry'].kill()
+            system.processes['entry'].wait()
+            state.restore(copy)
+            system.start('entry')
+            daemons._wait_until(
+                lambda: b'"version":3,' in system.get('entry', '/status')[1]
+            )
+            system.server_socket.settimeout(0.2)
+            received = None
+            for sequence in range(2, 42):
+                assert system.announce(sequence) == 200
+                system.send(4013, daemons.ACK, 102, 502, b'x')
+                with contextlib.suppress(TimeoutError):
+                    received = system.server_socket.recv(2048)
+                    break
+            assert received is not None
+            assert 'event=flow_reset' not in system.log('entry')
