--- a/tests/relay/soak_traffic.py
+++ b/tests/relay/soak_traffic.py
@@ -1,6 +1,5 @@
 """Backend servers and clients of a soak: they speak packets of the relay over UDP."""
 
-import random
 import select
 import socket
 
@@ -128,7 +127,7 @@
 
     def receive(self):
         """Handle one packet."""
-        source, client, flags, sequence, _, body = _decode(self.socket.recv(2048))
+        _, client, flags, sequence, _, body = _decode(self.socket.recv(2048))
         flow = self._flow_by_port.get(client[1])
         if flow is None:
             return
