Entries that do not watch the listings read them again after a restore

Two entries were restarted around a restore that had lost the agents' keys. The third one knew the agents and pinged them, but does not watch the listings (two of a domain do) and reads them every 10 to 30 s; it never told the agents that their keys were gone, and its pings kept them from checking for themselves. The new entries took the era for settled after 3.5 s and reset the flows.

Change: every entry follows the configuration, and learns of a later era there; it then reads the listings anew. `store_restored` is logged once an era.

Before: test_agents_are_told_of_lost_keys_by_an_entry_that_does_not_watch times out. After: it passes.

Also: the stand-in cluster and the demo restore the platform, and a system test shows a change made after a restore in force on all processes within 10 s.

Not covered: an entry that the store refuses over a restore still vouches for its agents.

--- a/src/egretjunction/demo.py
+++ b/src/egretjunction/demo.py
@@ -32,6 +32,8 @@
 COLD_START_SECONDS = 3.0
 ENTRY_REPLACEMENT_SHARE = 0.3
 SERVER_REPLACEMENT_SHARE = 0.5
+RESTORE_SHARE = 0.7
+RESTORED_COPY_SECONDS = 9.0
 FABRIC_UPDATE_DELAY_SECONDS = 1.0
 SLOTS_PER_SERVER = 2
 POLL_INTERVAL_SECONDS = 0.2
@@ -125,13 +127,21 @@
         return True
 
     async def _run_planned_changes(self, load: customers.LoadGenerator) -> None:
-        """Replace an entry and then a backend server under load."""
+        """Replace an entry and a backend server, then restore the platform."""
         await asyncio.sleep(self._seconds * ENTRY_REPLACEMENT_SHARE)
         await self._replace_entry(load)
         await asyncio.sleep(
             self._seconds * (SERVER_REPLACEMENT_SHARE - ENTRY_REPLACEMENT_SHARE)
         )
         await self._replace_server(load)
+        await self._restore_platform(load)
+
+    async def _restore_platform(self, load: customers.LoadGenerator) -> None:
+        await asyncio.sleep(self._seconds * (RESTORE_SHARE - SERVER_REPLACEMENT_SHARE))
+        await asyncio.to_thread(self._system.restore_platform, RESTORED_COPY_SECONDS)
+        self._record_event(
+            load, f'platform restored, {RESTORED_COPY_SECONDS:.0f} s are lost'
+        )
 
     def _record_event(self, load: customers.LoadGenerator, text: str) -> None:
         self._events.append(Event(round(load.elapsed_seconds, 2), text))
--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -34,6 +34,7 @@
     :param routes: the routes in force; modified only in the loop's thread.
     :param loop: event loop of the process.
     :param on_adopted: called after each adopted version.
+    :param on_restored: called in a thread when the store was restored from a copy.
     :param log: writes one event.
     """
 
@@ -45,6 +46,7 @@
         '_loop',
         '_newest_version',
         '_on_adopted',
+        '_on_restored',
         '_own_name',
         '_platform',
         '_routes',
@@ -61,6 +63,7 @@
         routes: relay_routes.Routes,
         loop: _loop.Loop,
         on_adopted: typing.Callable[[], None],
+        on_restored: typing.Callable[[], None],
         log: _process.Logger,
     ) -> None:
         self._own_name = own_name
@@ -69,6 +72,7 @@
         self._routes = routes
         self._loop = loop
         self._on_adopted = on_adopted
+        self._on_restored = on_restored
         self._log = log
         self._is_behind = threading.Event()
         self._newest_version = 0
@@ -93,18 +97,24 @@
             self._platform.store,
             self._platform.configuration_key,
             self._choose_watch_seconds,
-            lambda listing: self._post_adoption(listing.items),
+            self._on_listing,
             lambda changes: self._post_adoption(changes.written),
             self._log,
         )
 
+    def _on_listing(self, listing: store.Listing) -> None:
+        is_restored = 0 < self.store_era < listing.era
+        self.store_era = listing.era
+        self._post_adoption(listing.items)
+        if is_restored:
+            self._on_restored()
+
     def _choose_watch_seconds(self) -> float:
         return relay_watching.configuration_watch_seconds(
             self._bound_seconds, len(self.peer_by_name), random.random()
         )
 
-    def _post_adoption(self, items: typing.Collection[store.Item]) -> None:
-        self.store_era = max((item.era for item in items), default=self.store_era)
+    def _post_adoption(self, items: typing.Iterable[store.Item]) -> None:
         for item in items:
             if item.key == self._platform.configuration_key:
                 self._post_item(item, 'store')
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -84,6 +84,7 @@
             self._routes,
             self._loop,
             self._handle_early_packets,
+            self._list_after_restore,
             log,
         )
 
@@ -117,7 +118,6 @@
         self._register_gauges()
         _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
         self._log('entry_started', clients=str(self._settings.clients))
-        self._configuration.start()
         self._follower = _membership.ListingFollower(
             self._settings,
             self._platform.store,
@@ -126,6 +126,7 @@
             self._post_watching,
             self._log,
         )
+        self._configuration.start()
         _process.start(self._follower.run, self._log)
         self._loop.run()
         self._log('entry_stopped', flows=self._flows.flow_count)
@@ -255,6 +256,11 @@
         ):
             self._loop.stop()
 
+    def _list_after_restore(self) -> None:
+        """Read the listings of a new era, to tell agents whose keys are gone."""
+        self._log('store_restored', era=self._configuration.store_era)
+        self._follower.request_listing()
+
     def _post_listing(self, listing: store.Listing, is_stale: bool) -> None:
         self._loop.post(lambda: self._on_members_listing(listing, is_stale=is_stale))
 
--- a/src/egretjunction/standins/cluster.py
+++ b/src/egretjunction/standins/cluster.py
@@ -278,6 +278,14 @@
         body = msgspec.json.encode({'entries': entry_addresses, **conditions})
         self.post(self.admin_address_by_name['fabric'], '/conditions', body)
 
+    def restore_platform(self, seconds: float) -> None:
+        """Restore the platform stand-in from a copy.
+
+        :param seconds: age of the copy; what was written since is lost.
+        """
+        body = msgspec.json.encode({'seconds': seconds})
+        self.post(self.platform_address, '/admin/restore', body)
+
     def platform_calls(self) -> dict[str, int]:
         """Return the number of calls to the platform stand-in, by kind."""
         return _http_get_json(self.platform_address, '/admin/calls')
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -148,3 +148,28 @@
                     break
             assert received is not None
             assert 'event=flow_reset' not in system.log('entry')
+
+
+def test_agents_are_told_of_lost_keys_by_an_entry_that_does_not_watch(tmp_path):
+    """Guards against an agent that new entries never learn of (soak, seed 13)."""
+    with store_standin.running() as (state, address):
+        state.write(daemons.SETTLED, [])
+        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+        watchers = {
+            f'egretjunction/entries/a-{number}': b'{"domain": "a", "address": "127.0.10.8:1"}'
+            for number in range(relay_watching.WATCHERS_PER_DOMAIN)
+        }
+        state.write(watchers, [])
+        copy = state.copy()
+        system = daemons._System(tmp_path, address)
+        with contextlib.closing(system):
+            system.start('agent')
+            daemons._wait_until(lambda: system.announce(1) == 200)
+            system.start('entry')
+            daemons._wait_until(
+                lambda: b'"state":"ready"' in system.get('entry', '/status')[1]
+            )
+            state.restore(copy)
+            key = 'egretjunction/agents/agent-1'
+            daemons._wait_until(lambda: key in state.item_by_key)
+            assert 'event=store_restored' in system.log('entry')
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 
 import pytest
 
@@ -10,6 +11,7 @@
 from tests import systems
 
 SERVERS = ('bookings-1', 'bookings-2')
+IN_FORCE_SECONDS = 10  # the stated target
 
 
 @pytest.fixture
@@ -314,6 +316,29 @@
     systems.wait_until(lambda: process.poll() is not None)
 
 
+def test_change_after_a_restored_platform_is_in_force_everywhere(system):
+    """Guards against a confirmed change that processes take for a known one."""
+    base = system.document_text()
+    process_names = [*system.data_address_by_entry, 'agent-bookings-1']
+
+    def are_at(generation):
+        return all(
+            system.status(name)['generation'] == generation for name in process_names
+        )
+
+    lost_at = time.monotonic()
+    lost = base.replace('[service bookings]', '[service bookings]\nqueue_limit = 11')
+    asyncio.run(systems.apply_document(system, lost))
+    systems.wait_until(lambda: are_at(2))
+    system.restore_platform(time.monotonic() - lost_at + 0.1)
+    other = base.replace('[service bookings]', '[service bookings]\nqueue_limit = 22')
+    change = asyncio.run(systems.apply_document(system, other))
+    assert change.generation > 2
+    accepted_at = time.monotonic()
+    systems.wait_until(lambda: are_at(change.generation))
+    assert time.monotonic() - accepted_at < IN_FORCE_SECONDS
+
+
 def test_agent_paused_past_its_timeout_serves_again(system):
     system.send_signal('agent-surveys-1', signal.SIGSTOP)
 
