An entry that cannot read the store does not vouch for agents

What callers would see: open flows reset by entries that start after a restore, as before, while an entry that the store refuses goes on pinging the agents as listed. Its pings kept an agent from checking its own key.

Cause: the same as before, one step further: what an entry knows of the listings outlived the store's memory, and it could not know.

Change: pings say whether the entry can read the store in the era of its listings. An agent for which no such entry has spoken for 2 s reads its own key, one attempt every 2 s, instead of the whole listing with retries. Older agents ignore the new field; older entries vouch.

Before: test_agent_that_a_refused_entry_pings_is_found_after_a_restore, with plain pings, found flow_reset nobody_holds_it. After: it passes with pings of a refused entry, and test_entry_that_the_store_refuses_does_not_vouch_for_agents shows that these are what a refused entry sends.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -79,7 +79,7 @@
         if handler is None:
             return [effects.Log('message_unexpected', kind=type(message).__name__)]
         self._last_heard_by_entry[entry] = now
-        self._announcer.confirm(entry, now)
+        self._announcer.confirm(entry)
         return handler(message, entry, now)
 
     def on_server_packet(
@@ -407,6 +407,8 @@
         now: float,
     ) -> list[effects.Effect]:
         self.version = max(self.version, ping.version)
+        if ping.is_vouched and not ping.is_unlisted:
+            self._announcer.record_vouched(now)
         return [effects.Send(entry, relaying.Pong(self._service_tag, self.status(now)))]
 
     def _add_probe(
--- a/src/egretjunction/decisions/relay_announcing.py
+++ b/src/egretjunction/decisions/relay_announcing.py
@@ -8,7 +8,6 @@
 INTERVAL_SECONDS = 1.0  # between announcements to an entry that has not answered
 MAX_ANNOUNCEMENTS = 5  # after that, the entry finds the agent in the store
 ORPHAN_SECONDS = 2.0  # entries of the own failure domain ping twice a second
-MAX_ORPHAN_SECONDS = 16.0  # between listings while no entry sends anything
 
 
 class Announcer:
@@ -21,10 +20,9 @@
     __slots__ = (
         '_announced_at',
         '_domain',
-        '_heard_at',
         '_name',
-        '_orphan_seconds',
         '_remaining_by_entry',
+        '_vouched_at',
     )
 
     def __init__(self, name: str, domain: str) -> None:
@@ -32,30 +30,30 @@
         self._domain = domain
         self._announced_at = float('-inf')
         self._remaining_by_entry: dict[addresses.Address, int] = {}
-        self._heard_at = float('-inf')
-        self._orphan_seconds = ORPHAN_SECONDS
+        self._vouched_at = float('-inf')
 
     def add(self, entries: typing.Iterable[addresses.Address]) -> None:
         """Announce the agent to entries at the next opportunity."""
         self._remaining_by_entry.update(dict.fromkeys(entries, MAX_ANNOUNCEMENTS))
         self._announced_at = float('-inf')
 
-    def confirm(self, entry: addresses.Address, now: float) -> None:
+    def confirm(self, entry: addresses.Address) -> None:
         """Record that an entry knows the agent, since it has sent a message."""
-        self._heard_at = now
-        self._orphan_seconds = ORPHAN_SECONDS
         self._remaining_by_entry.pop(entry, None)
 
-    def should_list_again(self, now: float) -> bool:
-        """Tell whether to check that the agent is listed, since no entry is heard.
+    def record_vouched(self, now: float) -> None:
+        """Record that an entry that can read the store found the agent listed."""
+        self._vouched_at = now
+
+    def should_check_listing(self, now: float) -> bool:
+        """Tell whether to check that the store lists the agent, as no entry says so.
 
         A store that was restored from an older copy may have lost the key, and nobody
-        may know the agent any more. The checks get rarer until an entry is heard.
+        may know the agent any more.
         """
-        if now - self._heard_at <= self._orphan_seconds:
+        if now - self._vouched_at <= ORPHAN_SECONDS:
             return False
-        self._heard_at = now
-        self._orphan_seconds = min(MAX_ORPHAN_SECONDS, self._orphan_seconds * 2)
+        self._vouched_at = now
         return True
 
     def pop_due(self, now: float) -> list[addresses.Address]:
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -166,7 +166,9 @@
         for member in self.members.due_for_ping(now):
             member.pinged_at = now
             member.record_request(now)
-            ping = relaying.Ping(self.routes.version, not member.is_listed)
+            ping = relaying.Ping(
+                self.routes.version, not member.is_listed, self.members.can_vouch
+            )
             emitted.append(effects.Send(member.address, ping))
         if now - self._last_reoffer_at >= REOFFER_INTERVAL_SECONDS:
             self._last_reoffer_at = now
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -142,8 +142,9 @@
 class Members:
     """All agents that an entry knows.
 
-    ``is_watched`` tells whether a watch reports each change of the listings, and
-    ``wants_listing`` whether a new listing is needed to tell that an agent is unknown.
+    ``is_watched`` tells whether a watch reports each change of the listings,
+    ``wants_listing`` whether a new listing is needed to tell that an agent is unknown,
+    and ``can_vouch`` whether the entry can tell which agents the store lists now.
 
     :param domain: failure domain of the entry.
     """
@@ -154,8 +155,9 @@
         self.member_by_address: dict[addresses.Address, Member] = {}
         self.is_watched = False
         self.wants_listing = False
+        self.can_vouch = True
+        self.era = 0
         self._listed_at = -math.inf
-        self._era = 0
         self._settled_at = -math.inf
         self._probed_by_service: dict[str, list[Member]] | None = None
         self._probed_names: set[str] = set()
@@ -248,9 +250,9 @@
         """
         if is_marked:
             self._settled_at = -math.inf
-        elif era > self._era:
+        elif era > self.era:
             self._settled_at = now + SETTLING_SECONDS
-        self._era = max(self._era, era)
+        self.era = max(self.era, era)
 
     def is_settled(self, now: float) -> bool:
         """Tell whether living processes have had time to list themselves."""
--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -51,6 +51,7 @@
         '_platform',
         '_routes',
         'document',
+        'is_store_reached',
         'peer_by_name',
         'store_era',
     )
@@ -78,6 +79,7 @@
         self._newest_version = 0
         self._adopted_era = 0
         self.document = b'{}'
+        self.is_store_reached = False
         self.store_era = 0
         self.peer_by_name: dict[str, listings.Peer] = {}
 
@@ -100,11 +102,16 @@
             self._on_listing,
             lambda changes: self._post_adoption(changes.written),
             self._log,
+            self._on_reached,
         )
 
+    def _on_reached(self, is_reached: bool) -> None:
+        self.is_store_reached = is_reached
+
     def _on_listing(self, listing: store.Listing) -> None:
         is_restored = 0 < self.store_era < listing.era
         self.store_era = listing.era
+        self.is_store_reached = True
         self._post_adoption(listing.items)
         if is_restored:
             self._on_restored()
--- a/src/egretjunction/relay/_following.py
+++ b/src/egretjunction/relay/_following.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+from egretjunction import errors
 from egretjunction import store
 from egretjunction.relay import _process
 
@@ -25,6 +26,7 @@
     on_listing: typing.Callable[[store.Listing], None],
     on_changes: typing.Callable[[store.Changes], None],
     log: _process.Logger,
+    on_reached: typing.Callable[[bool], None],
 ) -> None:
     """Watch a prefix of the store; never returns.
 
@@ -32,6 +34,7 @@
     :param on_listing: called with all items under the prefix, at first and whenever
         changes were missed.
     :param on_changes: called with later changes.
+    :param on_reached: called after each watch call with whether it was answered.
     """
 
     def list_all() -> store.Listing:
@@ -41,7 +44,13 @@
         listing = _process.retry_until_answered(list_all, log, f'list {prefix}')
         on_listing(listing)
         watch_changes(
-            store_client, prefix, choose_wait_seconds, listing, on_changes, log
+            store_client,
+            prefix,
+            choose_wait_seconds,
+            listing,
+            on_changes,
+            log,
+            on_reached,
         )
 
 
@@ -52,6 +61,7 @@
     listing: store.Listing,
     on_changes: typing.Callable[[store.Changes], None],
     log: _process.Logger,
+    on_reached: typing.Callable[[bool], None],
 ) -> None:
     """Watch a prefix from a listing for as long as no change can have been missed.
 
@@ -59,6 +69,7 @@
 
     :param choose_wait_seconds: returns the longest duration of the next watch call.
     :param on_changes: called after each watch call, also without a change.
+    :param on_reached: called after each watch call with whether it was answered.
     """
     revision = listing.revision
     answered_at = _now()
@@ -66,7 +77,13 @@
     def watch() -> store.Changes:
         is_recent = _now() - answered_at <= MAX_GAP_SECONDS
         wait_seconds = choose_wait_seconds() if is_recent else CONFIRMING_WAIT_SECONDS
-        return store_client.watch(prefix, revision, wait_seconds)
+        try:
+            changes = store_client.watch(prefix, revision, wait_seconds)
+        except errors.PlatformUnavailableError:
+            on_reached(False)
+            raise
+        on_reached(True)
+        return changes
 
     while True:
         try:
--- a/src/egretjunction/relay/_membership.py
+++ b/src/egretjunction/relay/_membership.py
@@ -157,4 +157,5 @@
             listing,
             on_changes,
             self._log,
+            lambda _: None,
         )
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -90,7 +90,7 @@
         self._register_gauges()
         _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
         self._log('agent_started', entries=str(self._settings.entries))
-        self._start_listing()
+        self._start_listing(self._ensure_listed)
         self._loop.run()
         if self._server.is_gone:
             self._unlist_self()
@@ -147,7 +147,7 @@
             return
         self._executor.apply(flow_effects)
         if isinstance(message, relaying.Ping) and message.is_unlisted:
-            self._start_listing()
+            self._start_listing(self._ensure_listed)
 
     def _on_server_datagram(self, datagram: bytes, _sender: tuple[str, int]) -> None:
         try:
@@ -176,8 +176,8 @@
         now = self._clock()
         self._executor.apply(self._flows.tick(now))
         if self._draining_since is None:
-            if self._announcer.should_list_again(now):
-                self._start_listing()
+            if self._announcer.should_check_listing(now):
+                self._start_listing(self._check_listing)
             return
         drained_seconds = now - self._draining_since
         is_idle = self._server.is_gone or not self._flows.active_requests(now)
@@ -187,18 +187,32 @@
         ):
             self._loop.stop()
 
-    def _start_listing(self) -> None:
+    def _start_listing(self, task: _process.Task) -> None:
         """Start a thread that lists this agent in the store, unless one is running."""
         if self._listing_thread is None or not self._listing_thread.is_alive():
-            self._listing_thread = _process.start(self._ensure_listed, self._log)
+            self._listing_thread = _process.start(task, self._log)
 
-    def _ensure_listed(self) -> None:
-        key, data = listings.agent_item(
+    def _own_item(self) -> tuple[str, bytes]:
+        return listings.agent_item(
             self._settings.name,
             self._settings.service,
             self._settings.domain,
             self._settings.entries,
         )
+
+    def _check_listing(self) -> None:
+        """List this agent again if the store has lost its key; make one attempt."""
+        key, data = self._own_item()
+        try:
+            item = self._platform.store.get(key)
+        except errors.PlatformUnavailableError as error:
+            self._log('listing_unchecked', error=str(error))
+            return
+        if item.data != data:
+            self._ensure_listed()
+
+    def _ensure_listed(self) -> None:
+        key, data = self._own_item()
         client = self._platform.store
         is_listed = self._announce_to_entries(key, data)
         if is_listed:
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -147,6 +147,7 @@
             'domain': self._settings.domain,
             'version': self._routes.version,
             'ready': self._is_ready(),
+            'can_vouch': self._members.can_vouch,
             'members': {
                 member.name: {
                     'service': member.service,
@@ -242,6 +243,10 @@
             float(0), now - self._last_tick_at - _process.TICK_SECONDS
         )
         self._last_tick_at = now
+        self._members.can_vouch = (
+            self._configuration.is_store_reached
+            and self._members.era == self._configuration.store_era
+        )
         self._executor.apply(self._flows.tick(now, stalled_seconds))
         self._configuration.note_version(self._flows.newest_version)
         if self._members.wants_listing:
@@ -275,7 +280,8 @@
     ) -> None:
         now = self._clock()
         is_marked = listing.era == 0 or listings.is_era_marked(listing)
-        self._members.note_era(listing.era, now, is_marked=is_marked)
+        if not is_stale:
+            self._members.note_era(listing.era, now, is_marked=is_marked)
         names = set()
         self._configuration.peer_by_name.clear()
         for item in listing.items:
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -104,10 +104,12 @@
 
     :param version: configuration version that the entry follows.
     :param is_unlisted: whether the agent's key is missing from the store.
+    :param is_vouched: whether the entry can read the store, and so tell.
     """
 
     version: int
     is_unlisted: bool = False
+    is_vouched: bool = True
 
 
 class Held(msgspec.Struct, array_like=True, tag=6):
--- a/tests/decisions/test_relay_announcing.py
+++ b/tests/decisions/test_relay_announcing.py
@@ -39,3 +39,24 @@
         'a',
     )
     assert announcement.status.state is relaying.State.READY
+
+
+def test_agent_checks_its_listing_while_no_entry_vouches_for_it():
+    """Guards against an agent whose key is gone and that only refused entries ping."""
+    agent = build.agent()
+    own = build.announcer()
+    agent._announcer = own
+    assert own.should_check_listing(0)
+    agent.on_message(relaying.Ping(1), build.ENTRY, 1)
+    agent.on_message(relaying.Ping(1, is_vouched=False), build.ENTRY, 2.5)
+    assert not own.should_check_listing(2.9)
+    assert own.should_check_listing(3.1)
+    assert not own.should_check_listing(4)
+    assert own.should_check_listing(5.2)
+
+
+def test_entry_that_cannot_read_the_store_says_so_in_pings():
+    entry = build.entry('m-1')
+    entry.members.can_vouch = False
+    ((ping, _),) = build.sent_messages(entry.tick(1), relaying.Ping)
+    assert not ping.is_vouched
--- a/tests/relay/test_following.py
+++ b/tests/relay/test_following.py
@@ -28,6 +28,7 @@
     def __init__(self, *results):
         self.results = list(results)
         self.waits = []
+        self.reached = []
 
     def watch(self, _prefix, revision, wait_seconds):
         self.waits.append((revision, wait_seconds))
@@ -53,6 +54,7 @@
         store.Listing([], 7, 1),
         on_changes,
         lambda event, **fields: events.append(event),
+        client.reached.append,
     )
     return client, events
 
@@ -67,6 +69,7 @@
     client, _ = _watch(
         [errors.PlatformUnavailableError('down'), store.Changes([], [], 7, 1)]
     )
+    assert client.reached == [False, True]
     waits = [wait for _, wait in client.waits]
     assert waits == [LONG_SECONDS, _following.CONFIRMING_WAIT_SECONDS, LONG_SECONDS]
 
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from egretjunction.decisions import relay_watching
+from egretjunction.wire import relaying
 from tests.platform import store_standin
 from tests.relay import test_daemons as daemons
 
@@ -113,8 +114,11 @@
             system.open(4012)
 
 
-def test_entry_started_right_after_a_restore_does_not_reset_open_flows(tmp_path):
-    """Guards against a listing that lacks living agents taken for complete."""
+def _restart_entry_after_restore(tmp_path, between_packets):
+    """Restart an entry when the store has lost the agent's key; its flow goes on.
+
+    The client of an open flow goes on sending until its server gets a packet.
+    """
     with store_standin.running() as (state, address):
         state.write(daemons.SETTLED, [])
         state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
@@ -131,23 +135,57 @@
             system.send(4013, daemons.ACK, 101, 501, b'x')
             system.server_socket.recv(2048)
             system.answer(4013, daemons.ACK, 501, b'y')
+            assert system.client_socket.recv(2048).endswith(b'y')
             system.processes['entry'].kill()
             system.processes['entry'].wait()
             state.restore(copy)
             system.start('entry')
-            daemons._wait_until(
-                lambda: b'"version":3,' in system.get('entry', '/status')[1]
-            )
+            _await_version(system, 3)
             system.server_socket.settimeout(0.2)
             received = None
             for sequence in range(2, 42):
+                between_packets(system)
                 assert system.announce(sequence) == 200
                 system.send(4013, daemons.ACK, 102, 502, b'x')
                 with contextlib.suppress(TimeoutError):
                     received = system.server_socket.recv(2048)
                     break
-            assert received is not None
             assert 'event=flow_reset' not in system.log('entry')
+            assert received is not None
+
+
+def test_entry_started_right_after_a_restore_does_not_reset_open_flows(tmp_path):
+    """Guards against a listing that lacks living agents taken for complete."""
+    _restart_entry_after_restore(tmp_path, lambda _: None)
+
+
+def test_agent_that_a_refused_entry_pings_is_found_after_a_restore(tmp_path):
+    """Guards against an entry that vouches for a key that it cannot read.
+
+    The store refuses another entry, which goes on pinging the agent as listed.
+    """
+    refused = relaying.encode(relaying.Ping(3, is_vouched=False))
+    _restart_entry_after_restore(
+        tmp_path,
+        lambda system: system.client_socket.sendto(
+            refused, (daemons.AGENT_HOST, system.port)
+        ),
+    )
+
+
+def test_entry_that_the_store_refuses_does_not_vouch_for_agents(running):
+    system, state = running
+    daemons._wait_until(
+        lambda: b'"can_vouch":true' in system.get('entry', '/status')[1]
+    )
+    state.status = 503
+    daemons._wait_until(
+        lambda: b'"can_vouch":false' in system.get('entry', '/status')[1]
+    )
+    state.status = 0
+    daemons._wait_until(
+        lambda: b'"can_vouch":true' in system.get('entry', '/status')[1]
+    )
 
 
 def test_agents_are_told_of_lost_keys_by_an_entry_that_does_not_watch(tmp_path):
