Eras and ping intervals stand in modules of their own

What an entry knows of the store's era moves to relay_eras, how often agents are pinged to relay_pinging; no decision changes. Tests of the restored store share their set-up, the soak encodes packets as the other tests do.

--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -6,27 +6,17 @@
 import xxhash
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_eras
+from egretjunction.decisions import relay_pinging
 from egretjunction.decisions import relay_work
 from egretjunction.wire import relaying
 
-PING_INTERVAL_SECONDS = 0.5
-SILENT_PING_INTERVAL_SECONDS = 0.15  # bounds how late a returning agent is noticed
-LOST_AFTER_SECONDS = 10.0  # longer than a machine takes to start after a power loss
-LOST_PING_INTERVAL_SECONDS = 2.0
 SUSPECT_AFTER_SECONDS = 0.25  # answers within a failure domain take a few milliseconds
 # Random packet loss does not explain 2 unanswered pings to every agent of a service.
 UNREACHABLE_AFTER_SECONDS = 0.5
 DEAD_AFTER_SECONDS = 1.5  # longer than a process pauses when it exceeds its CPU quota
 EXPIRE_AFTER_SECONDS = 30.0
-# Members of other failure domains that are not in use are pinged less often, so that
-# control traffic between domains does not grow with the product of entries and agents.
-FAR_PINGS_PER_SECOND = 20.0
-MAX_FAR_PING_SECONDS = 8.0  # agents send changes of state to entries heard of for 10 s
-FAR_SILENT_PING_SECONDS = 1.0
 FRESH_LISTING_SECONDS = 2.0  # agents listed since then announce themselves
-# After a restore, entries ask the agents that they know to list themselves within 1 s;
-# one that nobody knows does so after ``relay_announcing.ORPHAN_SECONDS``.
-SETTLING_SECONDS = 3.5
 USED_SECONDS = 2.0  # a member counts as in use for this long after the last packet
 MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
 OTHER_DOMAIN_PENALTY = 0.8  # share of its slots by which a near server may be fuller
@@ -99,6 +89,11 @@
         """Return how long an answer of the agent has been outstanding."""
         return max(float(0), now - self.unanswered_since)
 
+    def is_answering(self) -> bool:
+        """Tell whether it has answered all requests, and at least one."""
+        has_answered = not math.isinf(self.last_status_at)
+        return has_answered and math.isinf(self.unanswered_since)
+
     def is_suspect(self, now: float) -> bool:
         """Tell whether an answer is outstanding for longer than usual."""
         return self.silent_seconds(now) > SUSPECT_AFTER_SECONDS
@@ -156,9 +151,8 @@
         self.is_watched = False
         self.wants_listing = False
         self.can_vouch = True
-        self.era = 0
         self._listed_at = -math.inf
-        self._settled_at = -math.inf
+        self.eras = relay_eras.Eras()
         self._probed_by_service: dict[str, list[Member]] | None = None
         self._probed_names: set[str] = set()
 
@@ -219,7 +213,10 @@
             answers may have been listed since, and is not marked.
         """
         for name, member in self.member_by_name.items():
-            is_certain = not is_stale or member.silent_seconds(now) > LOST_AFTER_SECONDS
+            is_certain = (
+                not is_stale
+                or member.silent_seconds(now) > relay_pinging.LOST_AFTER_SECONDS
+            )
             if name not in names and is_certain:
                 self.mark_unlisted(name)
 
@@ -236,27 +233,7 @@
         """
         is_current = self.is_watched or now - self._listed_at <= FRESH_LISTING_SECONDS
         self.wants_listing = self.wants_listing or not is_current
-        return is_current and self.is_settled(now)
-
-    def note_era(self, era: int, now: float, *, is_marked: bool) -> None:
-        """Record the era of a listing.
-
-        The listings of a new era may lack processes until these have found that their
-        keys are gone.
-
-        :param era: era of the store.
-        :param now: the time in seconds.
-        :param is_marked: whether the store tells that the era is settled.
-        """
-        if is_marked:
-            self._settled_at = -math.inf
-        elif era > self.era:
-            self._settled_at = now + SETTLING_SECONDS
-        self.era = max(self.era, era)
-
-    def is_settled(self, now: float) -> bool:
-        """Tell whether living processes have had time to list themselves."""
-        return now >= self._settled_at
+        return is_current and self.eras.is_settled(now)
 
     def remove(self, member: Member) -> None:
         """Remove a member."""
@@ -382,10 +359,6 @@
             if all(member.is_suspect(now) for member in members)
         }
         far_count = len(self.member_by_name) - len(self._probed_names)
-        far_interval = min(
-            MAX_FAR_PING_SECONDS,
-            max(PING_INTERVAL_SECONDS, far_count / FAR_PINGS_PER_SECOND),
-        )
 
         def is_due(member: Member) -> bool:
             is_probed = (
@@ -393,10 +366,14 @@
                 or now - member.used_at < USED_SECONDS
                 or member.service in silent_services
             )
+            silent_seconds = member.silent_seconds(now)
+            is_answering = member.is_answering()
             interval = (
-                _ping_interval(member, now)
+                relay_pinging.near_interval(silent_seconds, is_answering=is_answering)
                 if is_probed
-                else _far_ping_interval(member, now, far_interval)
+                else relay_pinging.far_interval(
+                    silent_seconds, far_count, is_answering=is_answering
+                )
             )
             return now - member.pinged_at >= interval
 
@@ -418,19 +395,3 @@
 
 def _tie_breaker(member: Member, key: bytes) -> int:
     return xxhash.xxh32_intdigest(member.name.encode() + key)
-
-
-def _ping_interval(member: Member, now: float) -> float:
-    if member.silent_seconds(now) > LOST_AFTER_SECONDS:
-        return LOST_PING_INTERVAL_SECONDS
-    if math.isinf(member.unanswered_since) and not math.isinf(member.last_status_at):
-        return PING_INTERVAL_SECONDS
-    return SILENT_PING_INTERVAL_SECONDS
-
-
-def _far_ping_interval(member: Member, now: float, interval: float) -> float:
-    if member.silent_seconds(now) > LOST_AFTER_SECONDS:
-        return max(LOST_PING_INTERVAL_SECONDS, interval)
-    if math.isinf(member.unanswered_since) and not math.isinf(member.last_status_at):
-        return interval
-    return min(FAR_SILENT_PING_SECONDS, interval)
--- a/src/egretjunction/relay/_membership.py
+++ b/src/egretjunction/relay/_membership.py
@@ -7,7 +7,7 @@
 import typing
 
 from egretjunction import store
-from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_eras
 from egretjunction.decisions import relay_watching
 from egretjunction.relay import _following
 from egretjunction.relay import _process
@@ -118,7 +118,7 @@
             _process.start(lambda: self._mark_era(era), self._log)
 
     def _mark_era(self, era: int) -> None:
-        time.sleep(relay_members.SETTLING_SECONDS + random.random())
+        time.sleep(relay_eras.SETTLING_SECONDS + random.random())
         item = _process.retry_until_answered(
             lambda: self._store.get(listings.ERA_KEY), self._log, 'get era'
         )
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -202,7 +202,7 @@
         is_behind = self._flows.newest_version > self._routes.version
         if is_behind and listed_seconds < bound_seconds:
             return False
-        return self._members.is_settled(self._clock())
+        return self._members.eras.is_settled(self._clock())
 
     def _on_client_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
@@ -245,7 +245,7 @@
         self._last_tick_at = now
         self._members.can_vouch = (
             self._configuration.is_store_reached
-            and self._members.era == self._configuration.store_era
+            and self._members.eras.newest == self._configuration.store_era
         )
         self._executor.apply(self._flows.tick(now, stalled_seconds))
         self._configuration.note_version(self._flows.newest_version)
@@ -281,7 +281,7 @@
         now = self._clock()
         is_marked = listing.era == 0 or listings.is_era_marked(listing)
         if not is_stale:
-            self._members.note_era(listing.era, now, is_marked=is_marked)
+            self._members.eras.record(listing.era, now, is_marked=is_marked)
         names = set()
         self._configuration.peer_by_name.clear()
         for item in listing.items:
@@ -313,7 +313,7 @@
             )
         for item in changes.written:
             if listings.marks_era(item, changes.era):
-                self._members.note_era(changes.era, self._clock(), is_marked=True)
+                self._members.eras.record(changes.era, self._clock(), is_marked=True)
             self._add_process(item)
 
     def _add_process(self, item: store.Item) -> None:
--- a/tests/decisions/test_relay_members.py
+++ b/tests/decisions/test_relay_members.py
@@ -1,6 +1,7 @@
 """An entry's view of the agents, based on the store and on their answers."""
 
 from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_pinging
 from egretjunction.wire import relaying
 from tests import relay_builders as build
 
@@ -125,7 +126,7 @@
     near = [count_by_name[f'm-{number}'] for number in range(24)]
     far = [count_by_name[f'm-{number}'] for number in range(24, 136)]
     assert min(near) >= 30
-    assert sum(far) <= relay_members.FAR_PINGS_PER_SECOND * 16 + len(far)
+    assert sum(far) <= relay_pinging.FAR_PINGS_PER_SECOND * 16 + len(far)
     assert min(far) >= 2
 
 
--- a/tests/relay/soak_traffic.py
+++ b/tests/relay/soak_traffic.py
@@ -5,29 +5,14 @@
 
 import flow_packets
 
+from tests.relay import test_daemons as daemons
+
 SYN, ACK, RST, BOUNCED = 8, 2, 64, 1
 ROUTE = ('198.18.0.1', 443)
 RESEND_SECONDS = 0.2
 ANSWER_SECONDS = 3.0  # after which a request of an open flow counts as unanswered
 
 
-def _encode(source, destination, flags, sequence, acknowledged, body=b''):
-    head = flow_packets._HEADER.pack(
-        7,
-        0,
-        socket.inet_aton(source[0]),
-        source[1],
-        socket.inet_aton(destination[0]),
-        destination[1],
-        len(body),
-        flags,
-        bytes(5),
-        sequence,
-        acknowledged,
-    )
-    return head + body
-
-
 def _decode(raw):
     """Return source, destination, flags, sequence, acknowledged and body."""
     fields = flow_packets._HEADER.unpack(raw[: flow_packets.HEADER_BYTES])
@@ -69,7 +54,7 @@
             self._send(source, route, ACK, self.number * 1000 + 1, sequence, answer)
 
     def _send(self, client, route, flags, sequence, acknowledged, body=b''):
-        raw = _encode(route, client, flags, sequence, acknowledged, body)
+        raw = daemons._encode_packet(route, client, flags, sequence, acknowledged, body)
         self.socket.sendto(raw, self.outbound)
 
 
@@ -165,7 +150,7 @@
     def _send(self, flow, entries, flags, sequence, acknowledged, now, body=b''):
         flow.sent_at = now
         source = (self.host, flow.port)
-        raw = _encode(source, ROUTE, flags, sequence, acknowledged, body)
+        raw = daemons._encode_packet(source, ROUTE, flags, sequence, acknowledged, body)
         self.socket.sendto(raw, self._draw.choice(entries))
 
 
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -12,11 +12,14 @@
 from tests.relay import test_daemons as daemons
 
 
-@pytest.fixture
-def running(tmp_path):
+@contextlib.contextmanager
+def _running(tmp_path, extra_keys=()):
+    """Yield an entry and an agent that serve, the store, and a copy without their keys."""
     with store_standin.running() as (state, address):
         state.write(daemons.SETTLED, [])
         state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+        state.write(dict(extra_keys), [])
+        copy = state.copy()
         system = daemons._System(tmp_path, address)
         with contextlib.closing(system):
             system.start('agent')
@@ -25,7 +28,16 @@
             daemons._wait_until(
                 lambda: system.get('entry', '/readiness', system.http)[0] == 200
             )
-            yield system, state
+            daemons._wait_until(
+                lambda: b'"state":"ready"' in system.get('entry', '/status')[1]
+            )
+            yield system, state, copy
+
+
+@pytest.fixture
+def running(tmp_path):
+    with _running(tmp_path) as (system, state, _):
+        yield system, state
 
 
 def _await_version(system, version):
@@ -95,23 +107,12 @@
 
 
 def test_processes_whose_keys_a_restore_took_away_list_themselves_again(tmp_path):
-    with store_standin.running() as (state, address):
-        state.write(daemons.SETTLED, [])
-        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
-        copy = state.copy()
-        system = daemons._System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('agent')
-            system.start('entry')
-            keys = {'egretjunction/agents/agent-1', 'egretjunction/entries/entry-1'}
-            daemons._wait_until(lambda: keys <= state.item_by_key.keys())
-            daemons._wait_until(lambda: system.announce(1) == 200)
-            daemons._wait_until(
-                lambda: system.get('entry', '/readiness', system.http)[0] == 200
-            )
-            state.restore(copy)
-            daemons._wait_until(lambda: keys <= state.item_by_key.keys())
-            system.open(4012)
+    with _running(tmp_path) as (system, state, copy):
+        keys = {'egretjunction/agents/agent-1', 'egretjunction/entries/entry-1'}
+        daemons._wait_until(lambda: keys <= state.item_by_key.keys())
+        state.restore(copy)
+        daemons._wait_until(lambda: keys <= state.item_by_key.keys())
+        system.open(4012)
 
 
 def _restart_entry_after_restore(tmp_path, between_packets):
@@ -119,39 +120,28 @@
 
     The client of an open flow goes on sending until its server gets a packet.
     """
-    with store_standin.running() as (state, address):
-        state.write(daemons.SETTLED, [])
-        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
-        copy = state.copy()
-        system = daemons._System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('agent')
-            system.start('entry')
-            daemons._wait_until(lambda: system.announce(1) == 200)
-            daemons._wait_until(
-                lambda: system.get('entry', '/readiness', system.http)[0] == 200
-            )
-            system.open(4013)
-            system.send(4013, daemons.ACK, 101, 501, b'x')
-            system.server_socket.recv(2048)
-            system.answer(4013, daemons.ACK, 501, b'y')
-            assert system.client_socket.recv(2048).endswith(b'y')
-            system.processes['entry'].kill()
-            system.processes['entry'].wait()
-            state.restore(copy)
-            system.start('entry')
-            _await_version(system, 3)
-            system.server_socket.settimeout(0.2)
-            received = None
-            for sequence in range(2, 42):
-                between_packets(system)
-                assert system.announce(sequence) == 200
-                system.send(4013, daemons.ACK, 102, 502, b'x')
-                with contextlib.suppress(TimeoutError):
-                    received = system.server_socket.recv(2048)
-                    break
-            assert 'event=flow_reset' not in system.log('entry')
-            assert received is not None
+    with _running(tmp_path) as (system, state, copy):
+        system.open(4013)
+        system.send(4013, daemons.ACK, 101, 501, b'x')
+        system.server_socket.recv(2048)
+        system.answer(4013, daemons.ACK, 501, b'y')
+        assert system.client_socket.recv(2048).endswith(b'y')
+        system.processes['entry'].kill()
+        system.processes['entry'].wait()
+        state.restore(copy)
+        system.start('entry')
+        _await_version(system, 3)
+        system.server_socket.settimeout(0.2)
+        received = None
+        for sequence in range(2, 42):
+            between_packets(system)
+            assert system.announce(sequence) == 200
+            system.send(4013, daemons.ACK, 102, 502, b'x')
+            with contextlib.suppress(TimeoutError):
+                received = system.server_socket.recv(2048)
+                break
+        assert 'event=flow_reset' not in system.log('entry')
+        assert received is not None
 
 
 def test_entry_started_right_after_a_restore_does_not_reset_open_flows(tmp_path):
@@ -190,24 +180,14 @@
 
 def test_agents_are_told_of_lost_keys_by_an_entry_that_does_not_watch(tmp_path):
     """Guards against an agent that new entries never learn of (soak, seed 13)."""
-    with store_standin.running() as (state, address):
-        state.write(daemons.SETTLED, [])
-        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
-        watchers = {
-            f'egretjunction/entries/a-{number}': b'{"domain": "a", "address": "127.0.10.8:1"}'
-            for number in range(relay_watching.WATCHERS_PER_DOMAIN)
-        }
-        state.write(watchers, [])
-        copy = state.copy()
-        system = daemons._System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('agent')
-            daemons._wait_until(lambda: system.announce(1) == 200)
-            system.start('entry')
-            daemons._wait_until(
-                lambda: b'"state":"ready"' in system.get('entry', '/status')[1]
-            )
-            state.restore(copy)
-            key = 'egretjunction/agents/agent-1'
-            daemons._wait_until(lambda: key in state.item_by_key)
-            assert 'event=store_restored' in system.log('entry')
+    watcher = b'{"domain": "a", "address": "127.0.10.8:1"}'
+    watchers = {
+        f'egretjunction/entries/a-{number}': watcher
+        for number in range(relay_watching.WATCHERS_PER_DOMAIN)
+    }
+    with _running(tmp_path, watchers) as (system, state, copy):
+        key = 'egretjunction/agents/agent-1'
+        daemons._wait_until(lambda: key in state.item_by_key)
+        state.restore(copy)
+        daemons._wait_until(lambda: key in state.item_by_key)
+        assert 'event=store_restored' in system.log('entry')
