An entry that knows agents is ready before an era is settled

A starting entry was not ready for 3.5 s, although it knew ten agents.

Change: it is ready as soon as it knows any agent. No flow depends on that: nothing is reset for want of an owner before the era is settled. With an empty view it still waits.

--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -196,13 +196,15 @@
 
         A store that was restored from an older copy gives a new entry a version that
         the other entries have passed, and a listing that may lack agents. When nobody
-        has the newer version, the entry serves with its own rather than not at all.
+        has the newer version, the entry serves with its own rather than not at all. It
+        also serves with some agents: it resets no flow before the era is settled.
         """
         bound_seconds = self._settings.configuration_ms / MILLISECONDS_PER_SECOND
         is_behind = self._flows.newest_version > self._routes.version
         if is_behind and listed_seconds < bound_seconds:
             return False
-        return self._members.eras.is_settled(self._clock())
+        has_members = bool(self._members.member_by_name)
+        return has_members or self._members.eras.is_settled(self._clock())
 
     def _on_client_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from egretjunction.decisions import relay_eras
 from egretjunction.decisions import relay_watching
 from egretjunction.wire import relaying
 from tests.platform import store_standin
@@ -191,3 +192,20 @@
         state.restore(copy)
         daemons._wait_until(lambda: key in state.item_by_key)
         assert 'event=store_restored' in system.log('entry')
+
+
+def test_entry_that_knows_agents_serves_before_an_era_is_settled(tmp_path):
+    """Guards against an entry out of rotation while the others are down."""
+    with store_standin.running() as (state, address):
+        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+        system = daemons._System(tmp_path, address)
+        with contextlib.closing(system):
+            system.start('agent')
+            key = 'egretjunction/agents/agent-1'
+            daemons._wait_until(lambda: key in state.item_by_key)
+            started_at = time.monotonic()
+            system.start('entry')
+            daemons._wait_until(
+                lambda: system.get('entry', '/readiness', system.http)[0] == 200
+            )
+            assert time.monotonic() - started_at < relay_eras.SETTLING_SECONDS
