A paused agent does not take its server for lost

The server had answered all the while.

Change: a pause of the agent does not count as silence of its server, as it does not at entries, and probes of the server are given the time that they lost. Stalls under 250 ms count, so that a throttled agent notices a lost server in time.

After: test_paused_agent_does_not_take_its_server_for_lost and test_probe_that_a_pause_outlasts_is_not_taken_for_held pass.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -179,9 +179,17 @@
         self.is_shutting_down = True
         return self.broadcast_status(now)
 
-    def tick(self, now: float) -> list[effects.Effect]:
-        """Run all timers that are due."""
+    def tick(self, now: float, pause_seconds: float = 0) -> list[effects.Effect]:
+        """Run all timers that are due.
+
+        :param now: the time in seconds.
+        :param pause_seconds: how long this process was paused since the last call;
+            answers of the server may still be unread.
+        """
         emitted: list[effects.Effect] = []
+        self.server.discount_pause(pause_seconds)
+        for pending in self._probe_by_token.values():
+            pending.expires_at += pause_seconds
         for token, probe in list(self._probe_by_token.items()):
             if now >= probe.expires_at:
                 self._probe_by_token.pop(token)
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -145,6 +145,12 @@
         self._last_packet_at = now
         self._unanswered_since = math.inf
 
+    def discount_pause(self, seconds: float) -> None:
+        """Exclude a pause of this process from the silence of the server."""
+        self._last_heartbeat_at += seconds
+        self._last_packet_at += seconds
+        self._unanswered_since += seconds
+
     def has_been_seen(self) -> bool:
         """Tell whether any heartbeat or packet of the server was received."""
         return self._last_heartbeat is not None or self._last_packet_at > -math.inf
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -21,6 +21,9 @@
 from egretjunction.wire import relaying
 
 MIN_DRAIN_SECONDS = 0.1
+# A process that exceeds its CPU quota is stalled for less than this; its ticks are then
+# late all the time, and a lost server would be noticed late.
+MIN_PAUSE_SECONDS = 0.25
 DRAIN_MARGIN_SECONDS = 1.0  # of the grace period; left for the last call to the store
 
 
@@ -59,6 +62,7 @@
         )
         self._listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
+        self._last_tick_at = self._clock()
         self._loop = _loop.Loop()
         self._metrics = metrics.Metrics('agent')
 
@@ -174,7 +178,10 @@
 
     def _tick(self) -> None:
         now = self._clock()
-        self._executor.apply(self._flows.tick(now))
+        stalled_seconds = now - self._last_tick_at - _process.TICK_SECONDS
+        self._last_tick_at = now
+        pause_seconds = stalled_seconds if stalled_seconds > MIN_PAUSE_SECONDS else 0
+        self._executor.apply(self._flows.tick(now, pause_seconds))
         if self._draining_since is None:
             if self._announcer.should_check_listing(now):
                 self._start_listing(self._check_listing)
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -316,3 +316,28 @@
     emitted = agent.on_message(again, build.ENTRY, 2.5)
     assert build.of_type(emitted, effects.ToServer)
     assert not build.sent_messages(emitted, relaying.Held)
+
+
+def _open_flow_with_a_request(agent, now):
+    """Open a flow and forward a request that the server has not answered yet."""
+    agent.on_message(build.offer(build.first_packet()), build.ENTRY, now)
+    agent.on_server_packet(build.opening(), now)
+    agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, now)
+
+
+def test_paused_agent_does_not_take_its_server_for_lost():
+    """Guards against flows reset by an agent that wakes up (soak, seed 49)."""
+    agent = build.agent()
+    _open_flow_with_a_request(agent, 1)
+    assert not build.of_type(agent.tick(4.5, pause_seconds=3.4), effects.Reset)
+    assert build.of_type(agent.tick(7.5), effects.Reset)
+
+
+def test_probe_that_a_pause_outlasts_is_not_taken_for_held():
+    """Guards against a flow adopted although the server's denial is still unread."""
+    agent = build.agent(is_known_since_start=False)
+    agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, 1)
+    emitted = agent.tick(2.5, pause_seconds=1.5)
+    assert not build.of_type(emitted, effects.Log)
+    returned = agent.on_server_packet(build.bounced(build.request(), 1), 2.5)
+    assert build.sent_messages(returned, relaying.Returned)
