--- a/src/egretjunction/relay/_following.py
+++ b/src/egretjunction/relay/_following.py
@@ -13,8 +13,8 @@
 from egretjunction import store
 from egretjunction.relay import _process
 
-# The store cannot be restored unnoticed between two watches that follow each other
-# this closely; after a longer gap, the era is read before the next long wait.
+# After a longer gap between two watches, the era is read before the next long wait. A
+# restore within a shorter one, without a failed call, is noticed when that wait ends.
 MAX_GAP_SECONDS = 0.1
 CONFIRMING_WAIT_SECONDS = 0.001
 
