--- a/src/egretjunction/relay/settings.py
+++ b/src/egretjunction/relay/settings.py
@@ -15,6 +15,10 @@
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_SECONDS)]
 Milliseconds = typing.Annotated[int, msgspec.Meta(gt=0, le=MAX_MILLISECONDS)]
 Mbps = typing.Annotated[float, msgspec.Meta(gt=0)]
+Factor = typing.Annotated[float, msgspec.Meta(ge=0)]
+LEAST_LOADED = 'least-loaded'
+EARLIEST_FINISH = 'earliest-finish'
+Placement = typing.Literal['least-loaded', 'earliest-finish']
 
 
 class RelayEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,6 +32,8 @@
     :param metrics: HTTP address for metrics and status.
     :param platform: HTTP address of the platform's key-value service.
     :param link_mbps: bandwidth of the machine's link in megabits per second.
+    :param placement: how new flows are placed: by the number of active requests, or
+        by when each server is expected to finish.
     :param grace_seconds: time between SIGTERM and SIGKILL.
     :param max_flow_seconds: age from which a flow may be dropped.
     :param configuration_ms: time within which an accepted configuration must be in
@@ -45,6 +51,7 @@
     max_flow_seconds: Seconds
     configuration_ms: Milliseconds
     link_mbps: Mbps = UNLIMITED_MBPS
+    placement: Placement = LEAST_LOADED
 
     @property
     def client_port(self) -> int:
@@ -69,6 +76,9 @@
     :param platform: HTTP address of the platform's key-value service.
     :param grace_seconds: time between SIGTERM and SIGKILL.
     :param max_flow_seconds: age from which a flow may be dropped.
+    :param cold_over: multiple of the operators' figure by which first packets to a
+        cold server may exceed it in a second; without it they are not limited.
+    :param cold_slack: first packets in a second beyond that multiple.
     """
 
     name: str
@@ -84,6 +94,8 @@
     platform: addresses.Address
     grace_seconds: Seconds
     max_flow_seconds: Seconds
+    cold_over: Factor | None = None
+    cold_slack: Factor | None = None
 
     @property
     def client_port(self) -> int:
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -9,6 +9,8 @@
 from egretjunction import errors
 
 ANNOUNCE_TAG = 11
+NO_LIMIT = -1
+NO_ESTIMATE = -1
 
 
 class State(enum.IntEnum):
@@ -41,6 +43,16 @@
     :param cold_ms: remaining time in which the backend server is slow after its start.
     :param knows_all_flows: whether it knows every flow of its backend server; an agent
         that started after the server does not, and must ask the server.
+    :param is_evacuated: whether it declines first packets because its failure domain
+        is evacuated.
+    :param openings_left: first packets that a cold backend server still accepts in
+        the current second, ``NO_LIMIT`` if there is no limit.
+    :param wait_ms: expected time until a new request starts, ``NO_ESTIMATE`` if
+        unknown.
+    :param request_ms: typical duration of a request, 0 if unknown.
+    :param failure_percent: share of recent flows that failed.
+    :param known_seconds: for how long it has known every flow of its backend server,
+        0 if it does not.
     """
 
     state: State
@@ -50,6 +62,12 @@
     version: int
     cold_ms: int = 0
     knows_all_flows: bool = True
+    is_evacuated: bool = False
+    openings_left: int = NO_LIMIT
+    wait_ms: int = NO_ESTIMATE
+    request_ms: int = 0
+    failure_percent: int = 0
+    known_seconds: int = 0
 
 
 class Offer(msgspec.Struct, array_like=True, tag=1):
@@ -105,11 +123,21 @@
     :param version: configuration version that the entry follows.
     :param is_unlisted: whether the agent's key is missing from the store.
     :param is_vouched: whether the entry can read the store, and so tell.
+    :param is_evacuated: whether the agent's failure domain is evacuated.
+    :param evacuation_era: era of the store in which the entry learned this.
+    :param evacuation_revision: revision of the store at which it learned this, 0 if it
+        has never learned of an evacuation.
+    :param cold_per_second: requests that a cold backend server of the agent's service
+        bears in a second, ``NO_LIMIT`` if not known or not limited.
     """
 
     version: int
     is_unlisted: bool = False
     is_vouched: bool = True
+    is_evacuated: bool = False
+    evacuation_era: int = 0
+    evacuation_revision: int = 0
+    cold_per_second: float = NO_LIMIT
 
 
 class Held(msgspec.Struct, array_like=True, tag=6):
--- a/tests/relay/test_settings.py
+++ b/tests/relay/test_settings.py
@@ -1,6 +1,7 @@
 """Settings of the relay daemons at the bounds of the deployments."""
 
 import pathlib
+import re
 
 import pytest
 
@@ -32,11 +33,19 @@
     'grown': ('6', '60', '5000'),
     'large': ('6', '60', '6000'),
 }
+OPTIONAL_BOUND = re.compile(r'\{\{#contract_bounds\.(\w+)\}\}(.*)\{\{/.*\}\}')
 CLASSES = {'entry': settings.RelayEntry, 'agent': settings.RelayAgent}
 
 
-def _read(role, bounds=BOUNDS_BY_SITE['edge']):
+def _read(role, bounds=BOUNDS_BY_SITE['edge'], bound_by_optional_key=()):
     text = (TEMPLATES / f'{role}.ini').read_text('utf-8')
+    optional = dict(bound_by_optional_key)
+    text = OPTIONAL_BOUND.sub(
+        lambda match: (
+            f'{match[1]} = {optional[match[1]]}' if match[1] in optional else ''
+        ),
+        text,
+    )
     keys = ('grace_period_s', 'max_flow_s', 'config_apply_ms')
     for key, bound in zip(keys, bounds, strict=True):
         text = text.replace(f'{{{{contract_bounds.{key}}}}}', bound)
@@ -59,6 +68,12 @@
         assert loaded.configuration_ms == int(bounds[2])
 
 
+def test_limit_for_cold_servers_applies_only_where_the_deployment_states_it():
+    assert _read('agent').cold_over is None
+    limited = _read('agent', bound_by_optional_key={'cold_over': 1.5, 'cold_slack': 5})
+    assert (limited.cold_over, limited.cold_slack) == (1.5, 5)
+
+
 @pytest.mark.parametrize('role', CLASSES)
 @pytest.mark.parametrize('grace', ['', '0', '-1', '1e9', 'soon'])
 def test_bound_that_is_missing_or_not_allowed_is_named(role, grace):
