Agents know after a power loss that their servers hold no flow

What callers saw: after a power loss, flows that had died were not reset for up to 15 s; callers waited until their deadline.

Change: an agent knows all flows of a server that is cold and not older than its own process and the shortest restart of one together; an earlier process cannot have served it. An agent that has had neither a heartbeat for 1.25 intervals since its start nor an answer to a probe has no server, and denies.

Ruled out: a note in the store of the server that an agent has served; it would have to be written before the first flow, also while the store is away. The sequence of heartbeats does not tell: a server repeats a failed one within some 40 ms.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -1,5 +1,6 @@
 """Decisions of an agent about flows: which to accept, decline, deliver or reset."""
 
+import math
 import typing
 
 from egretjunction import addresses
@@ -141,9 +142,15 @@
         self,
         heartbeat: relay_server.Heartbeat,
         now: float,
+        age_seconds: float = math.inf,
     ) -> list[effects.Effect]:
-        """Handle a heartbeat from the backend server."""
-        change = self.server.record_heartbeat(heartbeat, now)
+        """Handle a heartbeat from the backend server.
+
+        :param heartbeat: the heartbeat.
+        :param now: the time in seconds.
+        :param age_seconds: time since the server's start by the time of day.
+        """
+        change = self.server.record_heartbeat(heartbeat, now, age_seconds)
         if change is relay_server.HeartbeatChange.STALE:
             return [
                 effects.Log(
@@ -162,6 +169,7 @@
                     sequence=heartbeat.sequence,
                     draining=heartbeat.is_draining,
                     cold_ms=heartbeat.cold_ms,
+                    known_since_start=self.server.is_known_since_start,
                 ),
             )
             emitted += self.broadcast_status(now)
@@ -223,7 +231,7 @@
             self.server.slots,
             self.version,
             self.server.cold_ms(now),
-            self.server.is_known_since_start or self.server.is_gone,
+            self.server.knows_all_flows(now),
         )
 
     def announce(
@@ -319,7 +327,7 @@
     ) -> list[effects.Effect]:
         packet = self._codec.from_client(message.packet)
         flow = self._flow_by_key.get(packet.key)
-        if flow is None and not self.server.is_known_since_start:
+        if flow is None and not self.server.knows_all_flows(now):
             return self._probe_server(packet, entry, 0, now)
         if flow is None or not _matches_packet(flow, packet):
             returned = relaying.Returned(packet.raw, self.status(now))
@@ -405,6 +413,7 @@
         flow.token = token or flow.token
         flow.acknowledged = packet.acknowledged
         self._requests.record_sent(packet, now)
+        self.server.record_probe(now)
         probe_token = self._add_probe(packet, entry, token, now + PROBE_TIMEOUT_SECONDS)
         return [effects.ToServer(packet.raw, probe_token)]
 
@@ -446,6 +455,9 @@
             return []
         if flow is None or not flow.is_provisional:
             return []
+        if self.server.is_absent(now):
+            self._remove_flow(probe.key)
+            return [_denial_message(probe, self.status(now))]
         if not self.server.has_been_seen() or self.server.is_unresponsive(now):
             return []
         return self._accept_provisional(probe.key, flow, now)
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -8,6 +8,11 @@
 ANSWER_TIMEOUT_SECONDS = 0.15  # servers accept or bounce a first packet within 1 ms
 LOST_AFTER_SECONDS = 1.0  # without an answer, while heartbeats are overdue too
 OVERDUE_HEARTBEATS = 2.5  # intervals: two lost heartbeats and half an interval
+# Heartbeats that a running server cannot miss in a row while its machine is up.
+ABSENT_HEARTBEATS = 1.25
+# A supervisor waits at least this long before it starts an ended process again.
+MIN_RESTART_SECONDS = 0.1
+MILLISECONDS_PER_SECOND = 1_000
 DEFAULT_SLOTS = 2
 
 
@@ -71,6 +76,7 @@
     :param service: service that the server must provide; heartbeats of another
         service are ignored.
     :param heartbeat_seconds: interval between heartbeats.
+    :param started_at: start of this process, in the clock of all times passed in.
     """
 
     __slots__ = (
@@ -79,14 +85,20 @@
         '_last_heartbeat',
         '_last_heartbeat_at',
         '_last_packet_at',
+        '_probed_since',
+        '_started_at',
         '_unanswered_since',
         'is_gone',
         'is_known_since_start',
         'service',
     )
 
-    def __init__(self, service: str, heartbeat_seconds: float) -> None:
+    def __init__(
+        self, service: str, heartbeat_seconds: float, started_at: float = 0
+    ) -> None:
         self.service = service
+        self._started_at = started_at
+        self._probed_since = math.inf
         self._heartbeat_seconds = heartbeat_seconds
         self._last_heartbeat: Heartbeat | None = None
         self._last_heartbeat_at = -math.inf
@@ -106,8 +118,15 @@
         """Return how many requests the server runs concurrently."""
         return self._last_heartbeat.slots if self._last_heartbeat else DEFAULT_SLOTS
 
-    def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> HeartbeatChange:
-        """Record a heartbeat unless it is stale, and return what it changed."""
+    def record_heartbeat(
+        self, heartbeat: Heartbeat, now: float, age_seconds: float = math.inf
+    ) -> HeartbeatChange:
+        """Record a heartbeat unless it is stale, and return what it changed.
+
+        :param heartbeat: the heartbeat.
+        :param now: the time in seconds.
+        :param age_seconds: time since the server's start by the time of day.
+        """
         if heartbeat.service != self.service:
             return HeartbeatChange.STALE
         previous = self._last_heartbeat
@@ -119,7 +138,11 @@
         is_restarted = previous is not None and heartbeat.born != previous.born
         is_changed = previous is None or previous.is_draining != heartbeat.is_draining
         if is_restarted or previous is None:
-            self.is_known_since_start = is_restarted or heartbeat.sequence <= 1
+            self.is_known_since_start = (
+                is_restarted
+                or heartbeat.sequence <= 1
+                or self._has_started_with_agent(heartbeat, now, age_seconds)
+            )
             self.is_gone = False
         self._last_heartbeat = heartbeat
         self._last_heartbeat_at = now
@@ -129,6 +152,20 @@
             return HeartbeatChange.RESTARTED
         return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
 
+    def _has_started_with_agent(
+        self, heartbeat: Heartbeat, now: float, age_seconds: float
+    ) -> bool:
+        """Tell whether no earlier process can have sent the server a packet.
+
+        After a power loss, server and agent start together, and the agent misses the
+        server's first heartbeats. An earlier agent process would have had to end, and
+        this one to be started, within the server's life. The time of day may have been
+        stepped; a server that is no longer cold is therefore never taken for a new one.
+        """
+        if not heartbeat.cold_ms:
+            return False
+        return 0 <= age_seconds <= now - self._started_at + MIN_RESTART_SECONDS
+
     def record_leave(self, name: str) -> bool:
         """Record that a server has ended; return False if it is not the current one."""
         if self._last_heartbeat is None or name != self._last_heartbeat.name:
@@ -140,6 +177,10 @@
         """Record that a packet was sent that the server answers immediately."""
         self._unanswered_since = min(self._unanswered_since, now)
 
+    def record_probe(self, now: float) -> None:
+        """Record that a packet was sent to learn whether the server holds its flow."""
+        self._probed_since = min(self._probed_since, now)
+
     def record_answer(self, now: float) -> None:
         """Record that the server sent a packet."""
         self._last_packet_at = now
@@ -150,11 +191,25 @@
         self._last_heartbeat_at += seconds
         self._last_packet_at += seconds
         self._unanswered_since += seconds
+        self._started_at += seconds
+        self._probed_since += seconds
 
     def has_been_seen(self) -> bool:
         """Tell whether any heartbeat or packet of the server was received."""
         return self._last_heartbeat is not None or self._last_packet_at > -math.inf
 
+    def is_absent(self, now: float) -> bool:
+        """Tell whether there is no server: neither heartbeats nor answers to probes."""
+        if self.has_been_seen():
+            return False
+        overdue_seconds = ABSENT_HEARTBEATS * self._heartbeat_seconds
+        is_overdue = now - self._started_at > overdue_seconds
+        return is_overdue and now - self._probed_since > ANSWER_TIMEOUT_SECONDS
+
+    def knows_all_flows(self, now: float) -> bool:
+        """Tell whether a flow without a record at the agent is none of the server's."""
+        return self.is_known_since_start or self.is_gone or self.is_absent(now)
+
     def is_unresponsive(self, now: float) -> bool:
         """Tell whether an answer is outstanding for longer than servers take."""
         return now - self._unanswered_since > ANSWER_TIMEOUT_SECONDS
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -34,6 +34,7 @@
     :param platform: the platform's adapter.
     :param log: writes one event.
     :param read_settings: reads the settings again.
+    :param started_at: start of the process by the monotonic clock.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         platform: adapter.Adapter,
         log: _process.Logger,
         read_settings: typing.Callable[[], settings.RelayAgent],
+        started_at: float,
     ) -> None:
         self._read_settings = read_settings
         self._settings = agent_settings
@@ -49,7 +51,9 @@
         self._log = log
         self._clock = time.monotonic
         self._server = relay_server.Server(
-            agent_settings.service, agent_settings.heartbeat_ms / 1000
+            agent_settings.service,
+            agent_settings.heartbeat_ms / relay_server.MILLISECONDS_PER_SECOND,
+            started_at,
         )
         self._announcer = relay_announcing.Announcer(
             agent_settings.name, agent_settings.domain
@@ -173,7 +177,11 @@
         if isinstance(announcement, adapter.Leave):
             self._executor.apply(self._flows.on_leave(announcement.name, now))
         else:
-            self._executor.apply(self._flows.on_heartbeat(announcement, now))
+            born_at = announcement.born / relay_server.MILLISECONDS_PER_SECOND
+            age_seconds = time.time() - born_at
+            self._executor.apply(
+                self._flows.on_heartbeat(announcement, now, age_seconds)
+            )
         return _http.OK, b'{}'
 
     def _tick(self) -> None:
@@ -258,6 +266,7 @@
     platform: adapter.Adapter,
     log: _process.Logger,
     read_settings: typing.Callable[[], settings.RelayAgent],
+    started_at: float,
 ) -> None:
     """Run the agent until it has drained."""
-    RelayAgent(agent_settings, platform, log, read_settings).run()
+    RelayAgent(agent_settings, platform, log, read_settings, started_at).run()
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -342,6 +342,7 @@
     platform: adapter.Adapter,
     log: _process.Logger,
     read_settings: typing.Callable[[], settings.RelayEntry],
+    _started_at: float,
 ) -> None:
     """Run the entry until it has drained."""
     RelayEntry(entry_settings, platform, log, read_settings).run()
--- a/src/egretjunction/relay/running.py
+++ b/src/egretjunction/relay/running.py
@@ -17,7 +17,9 @@
 ConnectPlatform = typing.Callable[[int, addresses.Address], adapter.Adapter]
 
 
-def run(role: str, settings_path: str, connect: ConnectPlatform) -> None:
+def run(
+    role: str, settings_path: str, connect: ConnectPlatform, started_at: float
+) -> None:
     """Run a daemon until it has drained.
 
     Imported objects live as long as the process; they are frozen so that the garbage
@@ -27,6 +29,7 @@
     :param settings_path: path of its INI file.
     :param connect: returns the platform's adapter for the clients' port and the
         address of the key-value service.
+    :param started_at: start of the process by the monotonic clock.
     :raises errors.RefusedError: when the role is unknown.
     :raises errors.SettingsErrors: with every error in the settings.
     :raises errors.SettingsError: when the file is unreadable or not valid INI.
@@ -47,7 +50,7 @@
     gc.freeze()
     gc.enable()
     log = _logs.EventLog(role, role_settings.name)
-    module.start(role_settings, platform, log, read_settings)
+    module.start(role_settings, platform, log, read_settings, started_at)
 
 
 def _read_text(path: str) -> str:
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -1,5 +1,7 @@
 """Flows that an agent accepts, declines, adopts and resets."""
 
+import pytest
+
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.wire import relaying
 from tests import relay_builders as build
@@ -165,6 +167,79 @@
     assert not build.sent_messages(agent.tick(0.2), relaying.Held)
 
 
+POWERED_UP_AT = 10.0
+
+
+def _agent_started_at(started_at):
+    return build.relay_agent.AgentFlows(
+        build.relay_server.Server(build.SERVICE, 1.0, started_at),
+        build.Codec(),
+        build.MAX_FLOW_SECONDS,
+        build.announcer(),
+    )
+
+
+@pytest.mark.parametrize(
+    ('age_seconds', 'cold_ms', 'is_known'),
+    [
+        (0.15, 1850, True),
+        (0.29, 1710, True),
+        (0.31, 1690, False),  # an earlier agent may have served it
+        (50.0, 0, False),
+        (0.15, 0, False),  # the time of day was set back
+        (-0.5, 1850, False),
+    ],
+)
+def test_power_loss_leaves_no_flows_to_probe_servers_for(
+    age_seconds, cold_ms, is_known
+):
+    """Guards against probing every server for every flow after a power loss.
+
+    Server and agent start together, and the agent misses the first heartbeats. An
+    agent that is restarted beside a living server must still probe it.
+    """
+    agent = _agent_started_at(POWERED_UP_AT)
+    now = POWERED_UP_AT + 0.2
+    agent.on_heartbeat(build.heartbeat(sequence=4, cold_ms=cold_ms), now, age_seconds)
+    assert agent.status(now).knows_all_flows == is_known
+
+
+def test_agent_without_a_server_denies_flows_after_its_heartbeats_are_overdue():
+    """Guards against searches that wait for an agent whose server is gone.
+
+    A server left just before a power loss; its agent starts again without it and
+    neither confirmed nor denied any flow.
+    """
+    agent = _agent_started_at(POWERED_UP_AT)
+    ask = relaying.Ask(5, build.request().raw)
+    agent.on_message(ask, build.ENTRY, POWERED_UP_AT + 0.2)
+    assert not build.sent_messages(agent.tick(POWERED_UP_AT + 1.2), relaying.NotHeld)
+    agent.on_message(ask, build.ENTRY, POWERED_UP_AT + 1.25)
+    emitted = agent.tick(POWERED_UP_AT + 1.3)
+    ((denied, _),) = build.sent_messages(emitted, relaying.NotHeld)
+    assert denied.tokens == [5]
+    assert denied.status.knows_all_flows
+
+
+@pytest.mark.parametrize('is_heard', [True, False])
+def test_agent_whose_server_was_heard_or_never_probed_denies_nothing(is_heard):
+    agent = _agent_started_at(POWERED_UP_AT)
+    now = POWERED_UP_AT + 5
+    if is_heard:
+        agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, now - 1)
+        agent.on_server_packet(build.answer(), now - 0.5)
+    assert not agent.status(now).knows_all_flows
+
+
+def test_pause_of_the_agent_does_not_make_its_server_absent():
+    agent = _agent_started_at(POWERED_UP_AT)
+    agent.on_message(
+        relaying.Ask(5, build.request().raw), build.ENTRY, POWERED_UP_AT + 0.1
+    )
+    agent.tick(POWERED_UP_AT + 4, 3.8)
+    assert not agent.status(POWERED_UP_AT + 4).knows_all_flows
+
+
 def test_late_bounce_after_silence_returns_the_packet():
     """Guards against resetting an adopted flow whose probe was bounced late.
 
