--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -52,6 +52,7 @@
         self._waiting_entries: set[addresses.Address] = set()
         self._last_token = 0
         self._reported_state = relaying.State.STARTING
+        self._reported_knowledge = False
         self._handler_by_type: dict[type, typing.Any] = {
             relaying.Deliver: self._on_deliver,
             relaying.Offer: self._on_offer,
@@ -212,7 +213,8 @@
             )
             emitted.append(effects.Send(entry, announcement))
         emitted += self._notify_waiting_entries(now)
-        if self.state(now) != self._reported_state:
+        has_changed = self.state(now) != self._reported_state
+        if has_changed or self.server.knows_all_flows(now) != self._reported_knowledge:
             emitted += self.broadcast_status(now)
         return emitted
 
@@ -249,6 +251,7 @@
     def broadcast_status(self, now: float) -> list[effects.Effect]:
         """Send the status to every entry that was active recently."""
         self._reported_state = self.state(now)
+        self._reported_knowledge = self.server.knows_all_flows(now)
         pong = relaying.Pong(self._service_tag, self.status(now))
         return [effects.Send(entry, pong) for entry in self._last_heard_by_entry]
 
@@ -557,6 +560,17 @@
                 self._last_heard_by_entry.pop(entry)
 
 
+def can_stop(flows: AgentFlows, now: float) -> bool:
+    """Tell whether the process of an agent may end without leaving work behind.
+
+    An agent that has just started stays until it can tell whether its server holds any
+    flow: searches wait for its answer.
+    """
+    if flows.server.is_gone or flows.server.is_absent(now):
+        return True
+    return not flows.server.is_expected(now) and not flows.active_requests(now)
+
+
 def _existing_flow(now: float) -> relay_flows.Flow:
     """Return the record of a flow that the server held before this process started."""
     flow = relay_flows.Flow(now)
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -198,13 +198,17 @@
         """Tell whether any heartbeat or packet of the server was received."""
         return self._last_heartbeat is not None or self._last_packet_at > -math.inf
 
+    def is_expected(self, now: float) -> bool:
+        """Tell whether the first heartbeat since the start is still to be expected."""
+        overdue_seconds = ABSENT_HEARTBEATS * self._heartbeat_seconds
+        waited_seconds = now - self._started_at
+        return not self.has_been_seen() and waited_seconds <= overdue_seconds
+
     def is_absent(self, now: float) -> bool:
         """Tell whether there is no server: neither heartbeats nor answers to probes."""
-        if self.has_been_seen():
+        if self.has_been_seen() or self.is_expected(now):
             return False
-        overdue_seconds = ABSENT_HEARTBEATS * self._heartbeat_seconds
-        is_overdue = now - self._started_at > overdue_seconds
-        return is_overdue and now - self._probed_since > ANSWER_TIMEOUT_SECONDS
+        return now - self._probed_since > ANSWER_TIMEOUT_SECONDS
 
     def knows_all_flows(self, now: float) -> bool:
         """Tell whether a flow without a record at the agent is none of the server's."""
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -100,7 +100,7 @@
         self._log('agent_started', entries=str(self._settings.entries))
         self._start_listing(self._ensure_listed)
         self._loop.run()
-        if self._server.is_gone:
+        if self._server.is_gone or self._server.is_absent(self._clock()):
             self._unlist_self()
         self._log('agent_stopped', flows=self._flows.flow_count)
 
@@ -195,7 +195,7 @@
                 self._start_listing(self._check_listing)
             return
         drained_seconds = now - self._draining_since
-        is_idle = self._server.is_gone or not self._flows.active_requests(now)
+        is_idle = relay_agent.can_stop(self._flows, now)
         max_drain_seconds = self._settings.grace_seconds - DRAIN_MARGIN_SECONDS
         if drained_seconds > max_drain_seconds or (
             is_idle and drained_seconds > MIN_DRAIN_SECONDS
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from egretjunction.decisions import relay_agent
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.wire import relaying
 from tests import relay_builders as build
@@ -221,6 +222,23 @@
     assert denied.status.knows_all_flows
 
 
+def test_agent_that_is_stopped_right_after_its_start_answers_searches_first():
+    """Guards against an agent that ends without an answer, so that searches wait.
+
+    After a power loss, agents whose servers had left were stopped within 0.3 s; every
+    search then waited until they counted as dead.
+    """
+    agent = _agent_started_at(POWERED_UP_AT)
+    agent.begin_shutdown(POWERED_UP_AT + 0.3)
+    assert not relay_agent.can_stop(agent, POWERED_UP_AT + 0.5)
+    ask = relaying.Ask(5, build.request().raw)
+    agent.on_message(ask, build.ENTRY, POWERED_UP_AT + 0.6)
+    emitted = agent.tick(POWERED_UP_AT + 1.3)
+    statuses = [pong.status for pong, _ in build.sent_messages(emitted, relaying.Pong)]
+    assert [status.knows_all_flows for status in statuses] == [True]
+    assert relay_agent.can_stop(agent, POWERED_UP_AT + 1.3)
+
+
 @pytest.mark.parametrize('is_heard', [True, False])
 def test_agent_whose_server_was_heard_or_never_probed_denies_nothing(is_heard):
     agent = _agent_started_at(POWERED_UP_AT)
