Evacuation of failure domains in the operators' document

Operators had no way to take new flows off a failure domain: draining each agent by hand also sends callers of open flows away.

The document gets a section [evacuation DOMAIN]. It was weighed to keep evacuations in a record of their own beside the head; that would need a second watch and a second order of versions, so they travel with the generations of the document instead. Entries place no first packets on agents of an evacuated domain, also when every other domain is silent. When only evacuated servers are left, the entry refuses the connection (CONNECTION_REFUSED), because a dropped first packet would keep the caller waiting until its deadline. An evacuated agent takes no first packet from an entry that does not know yet; it passes it on or refuses it.

Both daemons log evacuation_started and evacuation_ended, export the gauge domains_evacuated and list the domains in /status. Entries log the services that are left without a server.

--- a/src/egretjunction/_ini.py
+++ b/src/egretjunction/_ini.py
@@ -129,7 +129,7 @@
         for key in raw_by_key:
             if key not in fields:
                 known = ', '.join(sorted(fields))
-                allowed = f'one of {known}'
+                allowed = f'one of {known}' if known else 'no keys'
                 self.add_error(section, key, raw_by_key[key], allowed)
         if len(self.collected_errors) > error_count_before:
             return None
--- a/src/egretjunction/decisions/agent_control.py
+++ b/src/egretjunction/decisions/agent_control.py
@@ -64,6 +64,12 @@
         """Return the data addresses of entries, most recent contact first."""
         return sorted(self._entries, key=self._last_contact, reverse=True)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the failure domain of this agent is evacuated."""
+        evacuated_domains = self.active_configuration.document.evacuated_domains
+        return self.own_record.domain in evacuated_domains
+
     def _last_contact(self, entry: addresses.Address) -> float:
         control = self._control_by_data.get(entry)
         if control is None:
--- a/src/egretjunction/decisions/config_exchange.py
+++ b/src/egretjunction/decisions/config_exchange.py
@@ -9,6 +9,7 @@
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import effects
+from egretjunction.decisions import evacuation
 from egretjunction.wire import messages
 
 
@@ -66,6 +67,7 @@
     apply: typing.Callable[[], bool],
 ) -> list[effects.Effect]:
     before = active.generation
+    evacuated_before = active.document.evacuated_domains
     try:
         is_applied = apply()
     except (errors.EgretjunctionError, ExceptionGroup) as error:
@@ -78,7 +80,15 @@
         before=before,
         change_id=active.change_id,
     )
-    return [log_effect]
+    return [
+        log_effect,
+        *evacuation.change_effects(
+            evacuated_before,
+            active.document.evacuated_domains,
+            active.generation,
+            active.change_id,
+        ),
+    ]
 
 
 def _last_change(active: configuration.ActiveConfiguration) -> document_changes.Change:
@@ -90,12 +100,19 @@
     active: configuration.ActiveConfiguration,
     service: str,
 ) -> messages.ConfigurationSnapshot:
-    """Return a snapshot of the sections that the agents of one service need."""
+    """Return a snapshot of the sections that the agents of one service need.
+
+    It includes all evacuations, because agents of one service run in many domains.
+    """
     service_section = active.document.services.get(service)
     section_names = []
     if service_section is not None:
         section_names.append(document.SERVICE_PREFIX + service)
         section_names.append(document.TEAM_PREFIX + service_section.team)
+    evacuated_domains = sorted(active.document.evacuated_domains)
+    section_names.extend(
+        evacuation.section_name(domain) for domain in evacuated_domains
+    )
     sections = active.document.sections
     text = document.join({name: sections[name] for name in section_names})
     return messages.ConfigurationSnapshot(_last_change(active), text)
--- a/src/egretjunction/decisions/document.py
+++ b/src/egretjunction/decisions/document.py
@@ -1,7 +1,8 @@
 """The operators' configuration document, an INI file, and its ownership rules.
 
 ``[service NAME]`` describes a service and ``[team NAME]`` a team that owns
-sections.
+sections. ``[evacuation DOMAIN]``, which has no keys, takes new flows off a failure
+domain.
 """
 
 import fnmatch
@@ -17,15 +18,19 @@
 MAX_DOCUMENT_BYTES = 900_000
 SERVICE_PREFIX = 'service '
 TEAM_PREFIX = 'team '
+EVACUATION_PREFIX = 'evacuation '
 OPERATORS_TEAM = 'operators'
 FULL_SHARE_PERCENT = 100
 MAX_COUNT = 1_000_000
 SECONDS_PER_DAY = 86_400
+NO_DOMAINS: frozenset[str] = frozenset()
 
 Name = typing.Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
 PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=SECONDS_PER_DAY)]
 Percent = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
+# Prefix of the section header, type of the section, and where it is kept by name.
+_Kinds = tuple[tuple[str, type, dict[str, typing.Any]], ...]
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,25 +90,37 @@
     key_sha256: typing.Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
 
 
+class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
+    """One ``[evacuation DOMAIN]`` section.
+
+    :param name: name of the failure domain.
+    """
+
+    name: Name
+
+
 class Document:
     """A validated document.
 
     :param sections: text of each section by its name, header line included.
     :param services: services by name.
     :param teams: teams by name.
+    :param evacuated_domains: names of the evacuated failure domains.
     """
 
-    __slots__ = ('sections', 'services', 'teams')
+    __slots__ = ('evacuated_domains', 'sections', 'services', 'teams')
 
     def __init__(
         self,
         sections: dict[str, str],
         services: dict[str, Service],
         teams: dict[str, Team],
+        evacuated_domains: frozenset[str] = NO_DOMAINS,
     ) -> None:
         self.sections = sections
         self.services = services
         self.teams = teams
+        self.evacuated_domains = evacuated_domains
 
     def text(self) -> str:
         """Return the text of the whole document."""
@@ -161,31 +178,39 @@
     reader = _ini.SectionReader(text, source)
     services: dict[str, Service] = {}
     teams: dict[str, Team] = {}
-    _read_sections(reader, services, teams)
+    evacuations: dict[str, Evacuation] = {}
+    _read_sections(reader, services, teams, evacuations)
     _check_references(reader, services, teams)
     reader.raise_errors()
-    return Document(split(text), services, teams)
+    return Document(split(text), services, teams, frozenset(evacuations))
 
 
 def _read_sections(
     reader: _ini.SectionReader,
     services: dict[str, Service],
     teams: dict[str, Team],
+    evacuations: dict[str, Evacuation],
 ) -> None:
+    kinds: _Kinds = (
+        (SERVICE_PREFIX, Service, services),
+        (TEAM_PREFIX, Team, teams),
+        (EVACUATION_PREFIX, Evacuation, evacuations),
+    )
     for section in reader.parser.sections():
-        if section.startswith(SERVICE_PREFIX):
-            name = section.removeprefix(SERVICE_PREFIX)
-            service = _read_named(reader, section, Service, name)
-            if service is not None:
-                services[name] = service
-        elif section.startswith(TEAM_PREFIX):
-            name = section.removeprefix(TEAM_PREFIX)
-            team = _read_named(reader, section, Team, name)
-            if team is not None:
-                teams[name] = team
-        else:
-            allowed = '"service NAME" or "team NAME"'
-            reader.add_error(section, '*', section, allowed)
+        _read_section(reader, section, kinds)
+
+
+def _read_section(reader: _ini.SectionReader, section: str, kinds: _Kinds) -> None:
+    """Read one section into the dictionary of its kind."""
+    for prefix, section_type, section_by_name in kinds:
+        if section.startswith(prefix):
+            name = section.removeprefix(prefix)
+            content = _read_named(reader, section, section_type, name)
+            if content is not None:
+                section_by_name[name] = content
+            return
+    allowed = '"service NAME" or "team NAME" or "evacuation DOMAIN"'
+    reader.add_error(section, '*', section, allowed)
 
 
 def patched_sections(
@@ -223,14 +248,19 @@
     """
     services = dict(before.services)
     teams = dict(before.teams)
+    evacuations = {
+        domain: Evacuation(name=domain) for domain in before.evacuated_domains
+    }
     for section in changed:
         services.pop(section.removeprefix(SERVICE_PREFIX), None)
         teams.pop(section.removeprefix(TEAM_PREFIX), None)
+        evacuations.pop(section.removeprefix(EVACUATION_PREFIX), None)
     new_texts = {name: text for name, text in changed.items() if text is not None}
     reader = _ini.SectionReader(join(new_texts), source)
-    _read_sections(reader, services, teams)
+    _read_sections(reader, services, teams, evacuations)
     reader.raise_errors()
-    return Document(patched_sections(before.sections, changed), services, teams)
+    sections = patched_sections(before.sections, changed)
+    return Document(sections, services, teams, frozenset(evacuations))
 
 
 def _read_named(
@@ -288,6 +318,8 @@
     if section.startswith(TEAM_PREFIX):
         name = section.removeprefix(TEAM_PREFIX)
         return name if name in document.teams else None
+    if section.startswith(EVACUATION_PREFIX):
+        return OPERATORS_TEAM
     service = document.services.get(section.removeprefix(SERVICE_PREFIX))
     return service.team if service is not None else None
 
--- a/src/egretjunction/decisions/entry_control.py
+++ b/src/egretjunction/decisions/entry_control.py
@@ -9,8 +9,10 @@
 from egretjunction.decisions import announcing
 from egretjunction.decisions import config_exchange
 from egretjunction.decisions import configuration
+from egretjunction.decisions import document
 from egretjunction.decisions import domains
 from egretjunction.decisions import effects
+from egretjunction.decisions import evacuation
 from egretjunction.decisions import membership
 from egretjunction.decisions import repairs
 from egretjunction.decisions import welcoming
@@ -119,8 +121,9 @@
         now: float,
     ) -> list[effects.Effect]:
         """Apply the changes after the current generation and advertise the new one."""
+        before = self.active_configuration.document
         emitted = config_exchange.apply_changes(self.active_configuration, changes)
-        return self._advertise_if_newer(emitted, now)
+        return self._advertise_if_newer(emitted, before, now)
 
     def adopt_snapshot(
         self,
@@ -129,8 +132,9 @@
         now: float,
     ) -> list[effects.Effect]:
         """Apply a snapshot if it is newer, and advertise its generation."""
+        before = self.active_configuration.document
         emitted = config_exchange.replace(self.active_configuration, change, text)
-        return self._advertise_if_newer(emitted, now)
+        return self._advertise_if_newer(emitted, before, now)
 
     def is_caught_up(self, now: float) -> bool:
         """Return whether this entry knows enough to place new flows.
@@ -162,13 +166,19 @@
     def _advertise_if_newer(
         self,
         emitted: list[effects.Effect],
+        before: document.Document,
         now: float,
     ) -> list[effects.Effect]:
         """Send digests at once when the generation has changed."""
         if self.active_configuration.generation == self._advertised_generation:
             return emitted
         self._advertised_generation = self.active_configuration.generation
-        return [*emitted, *self._send_digest(now)]
+        remainder_effects = evacuation.remainder_effects(
+            before.evacuated_domains,
+            self.active_configuration.document,
+            self.view.agents,
+        )
+        return [*emitted, *remainder_effects, *self._send_digest(now)]
 
     def _own_wire_record(self) -> messages.Record:
         return messages.to_record(self.own_record)
--- a/src/egretjunction/decisions/routing.py
+++ b/src/egretjunction/decisions/routing.py
@@ -13,6 +13,7 @@
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import domains
+from egretjunction.decisions import evacuation
 from egretjunction.decisions import health
 from egretjunction.decisions import membership
 from egretjunction.decisions import ownership
@@ -46,6 +47,15 @@
         self.reason = reason
 
 
+class Refuse:
+    """Refuse the flow of a first packet; the reason is counted in the metrics."""
+
+    __slots__ = ('reason',)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
 class _Weighted:
     """A member and its weight from health, configured share and slow start."""
 
@@ -118,7 +128,7 @@
         destination: addresses.Address,
         payload: bytes,
         now: float,
-    ) -> Forward | Drop:
+    ) -> Forward | Drop | Refuse:
         """Decide where a packet of a caller goes.
 
         :param destination: service address that the packet was sent to.
@@ -146,12 +156,19 @@
         service: document.Service,
         connection_id: bytes,
         now: float,
-    ) -> Forward | Drop:
+    ) -> Forward | Drop | Refuse:
+        eligible = membership.eligible(
+            self._view.agents(service.name),
+            lambda member: service.may_serve(member.name),
+        )
+        evacuated_domains = self._active_configuration.document.evacuated_domains
+        members = evacuation.outside(eligible, evacuated_domains)
         chosen = placement.candidates(
-            connection_id, self.weighted_members(service, now)
+            connection_id, self._weighted_members(service, members, now)
         )
         if not chosen:
-            return Drop('no_backend_server')
+            is_evacuated = len(members) < len(eligible)
+            return Refuse('evacuated') if is_evacuated else Drop('no_backend_server')
         rotation = self._count_retransmissions(connection_id, now) % len(chosen)
         weighted_members = typing.cast(
             'list[_Weighted]', chosen[rotation:] + chosen[:rotation]
@@ -165,14 +182,13 @@
         )
         return Forward(packet_candidates[0].address, packet_candidates)
 
-    def weighted_members(
-        self, service: document.Service, now: float
+    def _weighted_members(
+        self,
+        service: document.Service,
+        members: typing.Sequence[member_records.Member],
+        now: float,
     ) -> list[_Weighted]:
-        """Return the agents that may take new flows, with their weights."""
-        members = membership.eligible(
-            self._view.agents(service.name),
-            lambda member: service.may_serve(member.name),
-        )
+        """Return those of the agents that may take new flows, with their weights."""
         members = self._reachability.reachable(members, now)
         ejected = health.ejected_names(members)
         return [
--- a/src/egretjunction/quic/agent.py
+++ b/src/egretjunction/quic/agent.py
@@ -108,7 +108,7 @@
             arrivals.AgentState(
                 lambda: self._control.service,
                 lambda: self._control.entries,
-                lambda: self._lifecycle.state == 'serving',
+                self._takes_flows,
             ),
         )
         self._datagram_handler.handlers = server_flow.Handlers(
@@ -158,6 +158,10 @@
         if self._lifecycle.send('drain'):
             self._begin_drain()
 
+    def _takes_flows(self) -> bool:
+        is_serving = self._lifecycle.state == 'serving'
+        return is_serving and not self._control.is_evacuated
+
     def _begin_drain(self) -> None:
         now = self._clock()
         self._drain_started_at = now
@@ -193,8 +197,13 @@
             'configuration_generation',
             lambda: self._control.active_configuration.generation,
         )
+        self._metrics.gauge(
+            'domains_evacuated',
+            lambda: len(self._control.active_configuration.document.evacuated_domains),
+        )
 
     def _status(self) -> dict[str, object]:
+        active_document = self._control.active_configuration.document
         return {
             'name': self._settings.name,
             'service': self._settings.service,
@@ -203,6 +212,8 @@
             'incarnation': self._incarnation,
             'sequence': self._control.own_record.sequence,
             'generation': self._control.active_configuration.generation,
+            'domains_evacuated': sorted(active_document.evacuated_domains),
+            'is_evacuated': self._control.is_evacuated,
             'fitness': self._control.own_record.fitness,
             'flows': len(self._flows),
             'running': self._dispatcher.running,
--- a/src/egretjunction/quic/arrivals.py
+++ b/src/egretjunction/quic/arrivals.py
@@ -33,7 +33,8 @@
 
     :param service: returns the section of the agent's service, or None.
     :param entries: returns data addresses of live entries.
-    :param is_serving: returns whether the agent accepts new flows.
+    :param is_serving: returns whether the agent accepts new flows; false while its
+        failure domain is evacuated.
     """
 
     __slots__ = ('entries', 'is_serving', 'service')
--- a/src/egretjunction/quic/entry.py
+++ b/src/egretjunction/quic/entry.py
@@ -137,16 +137,21 @@
             'configuration_generation',
             lambda: self._control.active_configuration.generation,
         )
+        self._metrics.gauge(
+            'domains_evacuated',
+            lambda: len(self._control.active_configuration.document.evacuated_domains),
+        )
 
     def _status(self) -> dict[str, object]:
         view = self._control.view
-        services = self._control.active_configuration.document.services
+        active_document = self._control.active_configuration.document
         return {
             'name': self._settings.name,
             'state': self._lifecycle.state,
             'domain': self._settings.domain,
             'generation': self._control.active_configuration.generation,
             'change_id': self._control.active_configuration.change_id,
+            'domains_evacuated': sorted(active_document.evacuated_domains),
             'entries': [entry.name for entry in view.entries()],
             'agents': {
                 name: {
@@ -156,10 +161,11 @@
                         'incarnation': agent.incarnation,
                         'sequence': agent.sequence,
                         'address': str(agent.address),
+                        'domain': agent.domain,
                     }
                     for agent in view.agents(name)
                 }
-                for name in services
+                for name in active_document.services
             },
         }
 
@@ -179,6 +185,9 @@
         if isinstance(decision, routing.Drop):
             self._drops.record(decision.reason, sender, str(envelope.destination))
             return
+        if isinstance(decision, routing.Refuse):
+            self._refuse(decision.reason, envelope, sender)
+            return
         envelope.placement = packets.Placement(
             0,
             0,
@@ -189,6 +198,23 @@
         self._metrics.count('packets_to_agents')
         self._data.send(packets.encode(envelope), decision.address)
 
+    def _refuse(
+        self, reason: str, envelope: packets.Envelope, sender: tuple[str, int]
+    ) -> None:
+        """Tell the caller of a first packet that its flow is refused."""
+        # Entries that refuse nothing start faster without the QUIC library.
+        from egretjunction.quic import connections
+
+        self._drops.record(reason, sender, str(envelope.destination))
+        try:
+            packet = connections.refusal_packet(envelope.payload)
+        except ValueError as error:
+            self._drops.record('malformed', sender, str(error))
+            return
+        self._metrics.count('flows_refused')
+        reply = packets.Envelope(envelope.destination, envelope.source, packet)
+        self._data.send(packets.encode(reply), self._settings.fabric)
+
     def _on_message(self, message: object) -> list:
         effects = self._control.receive(message, self._clock())
         self._check_caught_up()
