A watch of the store reports the last change of each key

Cause: a watch returned written items and deleted keys in two lists. A key that was deleted and written again within one call was in both, and users of the changes could not tell which came last.

Ruled out: revisions of deletions in the interface. No user needs the earlier changes of a key, and the last one is enough.

--- a/src/egretjunction/store.py
+++ b/src/egretjunction/store.py
@@ -51,7 +51,7 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes under a prefix, oldest first.
+    """Changes under a prefix; a key that changed twice appears with its last change.
 
     :param written: items that were written.
     :param deleted: keys that were deleted.
