Evacuation of a failure domain on the relay

Cause: operators can ask for the evacuation of a failure domain in the store, and nothing read the key.

Ruled out: evacuations learned from the revision of the key alone, since a listing that lacks a key has no other revision than its own; an end claimed by an entry whose era has not settled, since the key may be about to be written again.

Change: entries read the keys with the configuration, in one listing and one watch of the operators' prefix; they offer no first packets to members of evacuated domains and tell the agents with each ping. Agents keep the newest state, decline offers, and report it to all entries. A service with servers in evacuated domains only is reset at once. An entry handles no packet before it has read the prefix.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -5,6 +5,7 @@
 from egretjunction import addresses
 from egretjunction.decisions import relay_announcing
 from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_flows
 from egretjunction.decisions import relay_server
 from egretjunction.decisions import relay_work
@@ -49,6 +50,7 @@
             codec.segment_bytes, max_flow_seconds
         )
         self._waiting_entries: set[addresses.Address] = set()
+        self.own_domain = relay_evacuation.OwnDomain(announcer.domain)
         self._last_token = 0
         self._reported_state = relaying.State.STARTING
         self._handler_by_type: dict[type, typing.Any] = {
@@ -224,6 +226,7 @@
             self.version,
             self.server.cold_ms(now),
             self.server.is_known_since_start or self.server.is_gone,
+            self.own_domain.is_evacuated,
         )
 
     def announce(
@@ -277,6 +280,7 @@
                 reason=reason.name.lower(),
                 work=passed.status.work,
                 state=passed.status.state.name.lower(),
+                evacuated=passed.status.is_evacuated,
             )
             return [effects.Send(entry, passed), event]
         if flow is None or flow.is_open or flow.ended_at is not None:
@@ -302,7 +306,8 @@
         """Return why an offer is declined, or None if it is accepted."""
         if offer.service_tag != self._service_tag:
             return relaying.Reason.WRONG_SERVICE
-        if self.state(now) != relaying.State.READY:
+        is_ready = self.state(now) == relaying.State.READY
+        if self.own_domain.is_evacuated or not is_ready:
             return relaying.Reason.NOT_READY
         if len(self._flow_by_key) >= MAX_FLOWS:
             return relaying.Reason.BUSY
@@ -319,6 +324,10 @@
     ) -> list[effects.Effect]:
         packet = self._codec.from_client(message.packet)
         flow = self._flow_by_key.get(packet.key)
+        is_opening = packet.is_first and not _is_open_at_server(flow)
+        if is_opening and self.own_domain.is_evacuated:
+            returned = relaying.Returned(packet.raw, self.status(now))
+            return [effects.Send(entry, returned)]
         if flow is None and not self.server.is_known_since_start:
             return self._probe_server(packet, entry, 0, now)
         if flow is None or not _matches_packet(flow, packet):
@@ -417,6 +426,12 @@
         self.version = max(self.version, ping.version)
         if ping.is_vouched and not ping.is_unlisted:
             self._announcer.record_vouched(now)
+        claim = relay_evacuation.Claim(
+            ping.is_evacuated, ping.evacuation_era, ping.evacuation_revision
+        )
+        events = self.own_domain.record(claim, str(entry))
+        if events:
+            return events + self.broadcast_status(now)
         return [effects.Send(entry, relaying.Pong(self._service_tag, self.status(now)))]
 
     def _add_probe(
--- a/src/egretjunction/decisions/relay_announcing.py
+++ b/src/egretjunction/decisions/relay_announcing.py
@@ -19,15 +19,15 @@
 
     __slots__ = (
         '_announced_at',
-        '_domain',
         '_name',
         '_remaining_by_entry',
         '_vouched_at',
+        'domain',
     )
 
     def __init__(self, name: str, domain: str) -> None:
         self._name = name
-        self._domain = domain
+        self.domain = domain
         self._announced_at = float('-inf')
         self._remaining_by_entry: dict[addresses.Address, int] = {}
         self._vouched_at = float('-inf')
@@ -75,4 +75,4 @@
 
     def announcement(self, service: str, status: relaying.Status) -> relaying.Announce:
         """Return the message that announces the agent."""
-        return relaying.Announce(self._name, service, self._domain, status)
+        return relaying.Announce(self._name, service, self.domain, status)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -117,6 +117,8 @@
             return [effects.Log('agent_unknown', agent=str(agent))]
         status = message.status
         before = member.status.state
+        if status.is_evacuated and not member.status.is_evacuated:
+            self.review_waiting_offers(now)
         member.record_status(status, now)
         self.newest_version = max(self.newest_version, status.version)
         emitted = handler(message, member, now)
@@ -155,6 +157,12 @@
         )
         return emitted + self.on_message(pong, member.address, now)
 
+    def review_waiting_offers(self, now: float) -> None:
+        """Decide again at the next tick about first packets that wait for a server."""
+        for offer in self._offer_by_token.values():
+            if offer.is_waiting:
+                offer.due_at = now
+
     def tick(self, now: float, stalled_seconds: float = 0) -> list[effects.Effect]:
         """Run all timers that are due.
 
@@ -167,7 +175,10 @@
             member.pinged_at = now
             member.record_request(now)
             ping = relaying.Ping(
-                self.routes.version, not member.is_listed, self.members.can_vouch
+                self.routes.version,
+                not member.is_listed,
+                self.members.can_vouch,
+                *self.members.evacuations.claim(member.domain, now),
             )
             emitted.append(effects.Send(member.address, ping))
         if now - self._last_reoffer_at >= REOFFER_INTERVAL_SECONDS:
@@ -197,7 +208,7 @@
         if flow is not None:
             is_retransmission = packet.acknowledged > 0
             owner = self.members.member_by_address.get(flow.owner)
-            if is_retransmission and owner is not None and not owner.is_suspect(now):
+            if is_retransmission and _takes_retransmission(flow, owner, now):
                 return [effects.Send(flow.owner, relaying.Deliver(packet.raw))]
             self._flow_by_key.pop(packet.key)
         destination = self._codec.destination_of(packet.key)
@@ -233,6 +244,9 @@
             member = self._next_member(offer, now)
         if member is not None:
             return [self._send_offer(token, offer, member, now)]
+        if self.members.is_service_evacuated(offer.service, now):
+            self._end_offer(token, offer)
+            return [_reset_flow(offer.packet, 'service_evacuated')]
         event = effects.Log(
             'flow_waiting',
             flow=offer.key.hex(),
@@ -610,5 +624,17 @@
                 self.members.remove(member)
 
 
+def _takes_retransmission(
+    flow: relay_pending.Flow, owner: relay_members.Member | None, now: float
+) -> bool:
+    """Tell whether the owner of a flow gets retransmissions of its first packet.
+
+    An agent of an evacuated domain gets none of a flow that its client has not opened.
+    """
+    if owner is None or owner.is_suspect(now):
+        return False
+    return flow.is_owner_confirmed or not owner.is_evacuated()
+
+
 def _reset_flow(packet: packets.Packet, reason: str) -> effects.Reset:
     return effects.Reset(packet.key, packet.acknowledged, reason)
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -7,6 +7,7 @@
 
 from egretjunction import addresses
 from egretjunction.decisions import relay_eras
+from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_pinging
 from egretjunction.decisions import relay_work
 from egretjunction.wire import relaying
@@ -32,6 +33,7 @@
     the time of the last packet sent to it, and ``is_listed`` tells whether the store
     holds the agent's key. ``is_mistaken`` tells that its address answers for another
     service than the listed one: the key is one of an agent that left.
+    ``is_domain_evacuated`` tells that this entry knows its domain to be evacuated.
 
     :param name: name of the agent.
     :param service: service of its backend server.
@@ -42,6 +44,7 @@
     __slots__ = (
         'address',
         'domain',
+        'is_domain_evacuated',
         'is_listed',
         'is_mistaken',
         'last_status_at',
@@ -65,6 +68,7 @@
         self.service = service
         self.domain = domain
         self.address = address
+        self.is_domain_evacuated = False
         self.is_listed = True
         self.is_mistaken = False
         self.unanswered_since = math.inf
@@ -106,9 +110,13 @@
         """Tell whether the listed agent itself has answered."""
         return not self.is_mistaken and not math.isinf(self.last_status_at)
 
+    def is_evacuated(self) -> bool:
+        """Tell whether it takes no new flows because its domain is evacuated."""
+        return self.is_domain_evacuated or self.status.is_evacuated
+
     def accepts_flows(self, now: float) -> bool:
         """Tell whether new flows may be offered to the agent."""
-        if self.is_mistaken:
+        if self.is_mistaken or self.is_evacuated():
             return False
         return self.status.state == relaying.State.READY and not self.is_suspect(now)
 
@@ -153,6 +161,7 @@
         self.can_vouch = True
         self._listed_at = -math.inf
         self.eras = relay_eras.Eras()
+        self.evacuations = relay_evacuation.Evacuations(self.eras)
         self._probed_by_service: dict[str, list[Member]] | None = None
         self._probed_names: set[str] = set()
 
@@ -171,6 +180,7 @@
         if replaced is not None:
             self.remove(replaced)
         self.member_by_name[member.name] = member
+        member.is_domain_evacuated = member.domain in self.evacuations
         self.member_by_address[member.address] = member
         self._probed_by_service = None
         return member
@@ -286,6 +296,38 @@
         ]
         return min(candidates, key=lambda candidate: _tie_breaker(candidate, key))
 
+    def update_evacuations(
+        self, other_domains: typing.Collection[str], now: float
+    ) -> bool:
+        """Apply changes of evacuations; tell whether there were any.
+
+        The agents of a domain are pinged at once, so that they decline offers of
+        entries that have not learned of the change.
+
+        :param other_domains: failure domains of known entries.
+        :param now: the time in seconds.
+        """
+        if self.evacuations.is_idle:
+            return False
+        member_domains = {member.domain for member in self.member_by_name.values()}
+        self.evacuations.tick({self._domain, *member_domains, *other_domains}, now)
+        self.evacuations.warn_if_all(member_domains)
+        changed_domains = self.evacuations.pop_changed()
+        for member in self.member_by_name.values():
+            if member.domain in changed_domains:
+                member.is_domain_evacuated = member.domain in self.evacuations
+                member.pinged_at = -math.inf
+        return bool(changed_domains)
+
+    def is_service_evacuated(self, service: str, now: float) -> bool:
+        """Tell whether all servers of a service are in evacuated domains."""
+        members = [
+            member
+            for member in self.member_by_name.values()
+            if member.service == service and not member.is_dead(now)
+        ]
+        return bool(members) and all(member.is_evacuated() for member in members)
+
     def count_ready(self, service: str, now: float) -> int:
         """Return how many members of a service accept flows, including full ones."""
         return sum(
--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -28,6 +28,9 @@
 class Follower:
     """Adopts newer versions from the store or, when it does not answer, from peers.
 
+    ``on_read`` is called in a thread with each listing and each change of the
+    operators' keys.
+
     :param own_name: the name of this entry.
     :param bound_seconds: time within which an accepted version must be in force.
     :param platform: the platform's adapter.
@@ -52,6 +55,7 @@
         '_routes',
         'document',
         'is_store_reached',
+        'on_read',
         'peer_by_name',
         'store_era',
     )
@@ -78,6 +82,9 @@
         self._is_behind = threading.Event()
         self._newest_version = 0
         self._adopted_era = 0
+        self.on_read: typing.Callable[[store.Listing | store.Changes], None] = (
+            lambda _result: None
+        )
         self.document = b'{}'
         self.is_store_reached = False
         self.store_era = 0
@@ -97,10 +104,10 @@
     def _follow_store(self) -> None:
         _following.follow_prefix(
             self._platform.store,
-            self._platform.configuration_key,
+            self._platform.operator_prefix,
             self._choose_watch_seconds,
             self._on_listing,
-            lambda changes: self._post_adoption(changes.written),
+            self._on_changes,
             self._log,
             self._on_reached,
         )
@@ -112,10 +119,15 @@
         is_restored = 0 < self.store_era < listing.era
         self.store_era = listing.era
         self.is_store_reached = True
+        self.on_read(listing)
         self._post_adoption(listing.items)
         if is_restored:
             self._on_restored()
 
+    def _on_changes(self, changes: store.Changes) -> None:
+        self.on_read(changes)
+        self._post_adoption(changes.written)
+
     def _choose_watch_seconds(self) -> float:
         return relay_watching.configuration_watch_seconds(
             self._bound_seconds, len(self.peer_by_name), random.random()
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -103,6 +103,7 @@
     def _register_gauges(self) -> None:
         gauge = self._metrics.gauge
         gauge('flows', lambda: self._flows.flow_count)
+        gauge('domains_evacuated', lambda: int(self._flows.own_domain.is_evacuated))
         gauge('requests_at_work', lambda: self._flows.active_requests(self._clock()))
         gauge(
             'datagrams_unsent',
@@ -120,6 +121,9 @@
             'work': self._flows.status(now).work,
             'flows': self._flows.flow_count,
             'version': self._flows.version,
+            'evacuated_domains': (
+                [self._settings.domain] if self._flows.own_domain.is_evacuated else []
+            ),
         }
         return msgspec.json.encode(summary)
 
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -11,9 +11,11 @@
 from egretjunction import metrics
 from egretjunction import store
 from egretjunction.decisions import relay_entry
+from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
 from egretjunction.relay import _configuration
+from egretjunction.relay import _evacuations
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
 from egretjunction.relay import _membership
@@ -87,6 +89,13 @@
             self._list_after_restore,
             log,
         )
+        self._configuration.on_read = _evacuations.Reader(
+            platform.read_evacuation,
+            self._loop,
+            self._on_evacuations_listing,
+            self._on_evacuations_changes,
+            log,
+        ).read
 
     def run(self) -> None:
         """Serve until the drain has finished."""
@@ -136,6 +145,7 @@
         gauge('flows', lambda: self._flows.flow_count)
         gauge('first_packets_and_searches_pending', lambda: self._flows.pending_count)
         gauge('members', lambda: len(self._members.member_by_name))
+        gauge('domains_evacuated', lambda: len(self._members.evacuations.domains))
         gauge('configuration_version', lambda: self._routes.version)
         gauge('store_era', lambda: self._configuration.store_era)
         gauge('datagrams_unsent', lambda: self._agents.dropped + self._clients.dropped)
@@ -148,6 +158,7 @@
             'version': self._routes.version,
             'ready': self._is_ready(),
             'can_vouch': self._members.can_vouch,
+            'evacuated_domains': self._members.evacuations.domains,
             'members': {
                 member.name: {
                     'service': member.service,
@@ -157,6 +168,7 @@
                     'flows': member.status.flows,
                     'silent_seconds': round(member.silent_seconds(now), 3),
                     'listed': member.is_listed,
+                    'evacuated': member.is_evacuated(),
                 }
                 for member in self._members.member_by_name.values()
             },
@@ -177,7 +189,10 @@
         self._log('entry_draining', flows=self._flows.flow_count)
 
     def _has_routes_and_members(self) -> bool:
-        return self._routes.version > 0 and self._members_listed_at is not None
+        is_listed = self._members_listed_at is not None
+        return (
+            self._routes.version > 0 and is_listed and self._members.evacuations.is_read
+        )
 
     def _is_ready(self) -> bool:
         if self._draining_since is not None or not self._has_routes_and_members():
@@ -249,6 +264,7 @@
             self._configuration.is_store_reached
             and self._members.eras.newest == self._configuration.store_era
         )
+        self._update_evacuations(now)
         self._executor.apply(self._flows.tick(now, stalled_seconds))
         self._configuration.note_version(self._flows.newest_version)
         if self._members.wants_listing:
@@ -263,6 +279,26 @@
         ):
             self._loop.stop()
 
+    def _on_evacuations_listing(self, reading: relay_evacuation.Reading) -> None:
+        now = self._clock()
+        self._members.evacuations.record_listing(reading, now)
+        self._update_evacuations(now)
+        self._handle_early_packets()
+
+    def _on_evacuations_changes(self, reading: relay_evacuation.Reading) -> None:
+        now = self._clock()
+        self._members.evacuations.record_changes(reading)
+        self._update_evacuations(now)
+
+    def _update_evacuations(self, now: float) -> None:
+        """Apply evacuations once agents and entries are listed."""
+        if self._members_listed_at is None:
+            return
+        peers = self._configuration.peer_by_name.values()
+        if self._members.update_evacuations({peer.domain for peer in peers}, now):
+            self._flows.review_waiting_offers(now)
+        self._executor.apply(self._members.evacuations.pop_logs())
+
     def _list_after_restore(self) -> None:
         """Read the listings of a new era, to tell agents whose keys are gone."""
         self._log('store_restored', era=self._configuration.store_era)
--- a/tests/platform/test_layout.py
+++ b/tests/platform/test_layout.py
@@ -11,6 +11,7 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 PLATFORM_NAMES = (
     'op/config',
+    'op/evacuate',
     'kv-key',
     'kv-range',
     'kv-watch',
--- a/tests/platform/test_operator_config.py
+++ b/tests/platform/test_operator_config.py
@@ -76,3 +76,35 @@
 def test_missing_bounds_are_named():
     table = _read({'version': 7, 'routes': ROUTES})
     assert [problem.count('"r-2"') for problem in table.problems] == [1, 1]
+
+
+@pytest.mark.parametrize(
+    ('key', 'document', 'domain'),
+    [
+        ('op/evacuate/zone-a', b'{}', 'zone-a'),
+        ('op/evacuate/zone-a', b'{"by": "x"}', 'zone-a'),
+        ('op/evacuate/zone-a', None, 'zone-a'),
+        ('op/config', b'[]', ''),
+        ('op/evacuate', b'{}', ''),
+        ('op/other/zone-a', b'{}', ''),
+    ],
+)
+def test_evacuation_key_names_its_domain(key, document, domain):
+    assert operator_config.read_evacuation(key, document) == domain
+
+
+@pytest.mark.parametrize(
+    ('key', 'document'),
+    [
+        ('op/evacuate/', b'{}'),
+        ('op/evacuate/a/b', b'{}'),
+        ('op/evacuate//', b'{}'),
+        ('op/evacuate/a', b'[]'),
+        ('op/evacuate/a', b''),
+        ('op/evacuate/a', b'1'),
+        ('op/evacuate/a', b'\xff'),
+    ],
+)
+def test_malformed_evacuation_is_rejected_with_its_key(key, document):
+    with pytest.raises(errors.PlatformFormatError, match=key):
+        operator_config.read_evacuation(key, document)
