Agents are listed once their server is heard of; one without a server blocks no search

Cause: machines whose servers had left before the loss start again, list their agents at once and are taken away one after the other without a notice. Each blocks all searches for 1.5 s of silence.

Change: an agent lists and announces itself when it first hears of its server. One whose server is absent or gone reports no slots, and an entry does not wait for it for as long as that status is at most 2 s old: an instance that starts again announces itself to every entry within that time. An agent that only stops keeps its slots, since its server may hold flows.

Ruled out: taking a missing key for proof that the server holds nothing, since the store may revoke keys of living agents. The test of an entry before an era is settled now sends the heartbeat that lists the agent; its checks stay.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -228,11 +228,12 @@
 
     def status(self, now: float) -> relaying.Status:
         """Return the status that is sent with every answer."""
+        has_server = not self.server.is_gone and not self.server.is_absent(now)
         return relaying.Status(
             self.state(now),
             self._requests.load(now),
             len(self._flow_by_key),
-            self.server.slots,
+            self.server.slots if has_server else 0,
             self.version,
             self.server.cold_ms(now),
             self.server.knows_all_flows(now),
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -395,7 +395,7 @@
         if now - search.started_at > MAX_SEARCH_SECONDS:
             self._end_search(token, search)
             return [effects.Log('search_failed', flow=search.key.hex())]
-        members = self.members.serving(search.services)
+        members = self.members.serving(search.services, now)
         reachable = [member for member in members if not member.is_dead(now)]
         candidates = [
             member for member in reachable if member.name not in search.denied
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -17,6 +17,7 @@
 UNREACHABLE_AFTER_SECONDS = 0.5
 DEAD_AFTER_SECONDS = 1.5  # longer than a process pauses when it exceeds its CPU quota
 EXPIRE_AFTER_SECONDS = 30.0
+NO_SERVER_SECONDS = 2.0  # until a silent agent counts as dead, with its last answer
 FRESH_LISTING_SECONDS = 2.0  # agents listed since then announce themselves
 USED_SECONDS = 2.0  # a member counts as in use for this long after the last packet
 MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
@@ -110,6 +111,16 @@
         """Tell whether the listed agent itself has answered."""
         return not self.is_mistaken and not math.isinf(self.last_status_at)
 
+    def holds_nothing(self, now: float) -> bool:
+        """Tell whether it has neither a server nor flows.
+
+        An old status proves nothing: the instance may have started again since, with a
+        server. Its agent then announces itself to every entry within this time.
+        """
+        if self.is_mistaken or now - self.last_status_at > NO_SERVER_SECONDS:
+            return False
+        return not self.status.slots and not self.status.flows
+
     def is_evacuated(self) -> bool:
         """Tell whether it takes no new flows because its domain is evacuated."""
         return self.is_domain_evacuated or self.status.is_evacuated
@@ -256,12 +267,12 @@
         """Tell whether a member is in the entry's own failure domain."""
         return member.domain == self._domain
 
-    def serving(self, services: typing.Container[str]) -> list[Member]:
-        """Return the members of the given services."""
+    def serving(self, services: typing.Container[str], now: float) -> list[Member]:
+        """Return the members of the given services that may hold flows."""
         return [
             member
             for member in self.member_by_name.values()
-            if member.service in services
+            if member.service in services and not member.holds_nothing(now)
         ]
 
     def least_loaded(
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -234,7 +234,7 @@
 
     def state(self, now: float) -> relaying.State:
         """Return the state of the server as reported to entries."""
-        if self.is_gone:
+        if self.is_gone or self.is_absent(now):
             return relaying.State.GONE
         if self._last_heartbeat is None:
             return relaying.State.STARTING
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -64,6 +64,7 @@
             agent_settings.max_flow_seconds,
             self._announcer,
         )
+        self._may_list = False
         self._listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
         self._last_tick_at = self._clock()
@@ -98,7 +99,6 @@
         self._register_gauges()
         _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
         self._log('agent_started', entries=str(self._settings.entries))
-        self._start_listing(self._ensure_listed)
         self._loop.run()
         if self._server.is_gone or self._server.is_absent(self._clock()):
             self._unlist_self()
@@ -168,6 +168,7 @@
             self._log('packet_malformed', sender='server', error=str(error))
             return
         self._executor.apply(self._flows.on_server_packet(packet, self._clock()))
+        self._list_once_server_is_seen()
 
     def _on_announcement(self, request: _http.Request) -> _http.Response:
         try:
@@ -186,6 +187,7 @@
             self._executor.apply(
                 self._flows.on_heartbeat(announcement, now, age_seconds)
             )
+            self._list_once_server_is_seen()
         return _http.OK, b'{}'
 
     def _tick(self) -> None:
@@ -206,8 +208,23 @@
         ):
             self._loop.stop()
 
+    def _list_once_server_is_seen(self) -> None:
+        """List this agent when its server is first heard of.
+
+        Machines whose server has left may start again and be taken away without notice;
+        searches would wait for their agents.
+        """
+        if not self._may_list and self._server.has_been_seen():
+            self._may_list = True
+            self._start_listing(self._ensure_listed)
+
     def _start_listing(self, task: _process.Task) -> None:
-        """Start a thread that lists this agent in the store, unless one is running."""
+        """Start a thread that lists this agent in the store, unless one is running.
+
+        Nothing is started before the server is heard of.
+        """
+        if not self._may_list:
+            return
         if self._listing_thread is None or not self._listing_thread.is_alive():
             self._listing_thread = _process.start(task, self._log)
 
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -38,7 +38,8 @@
     :param state: state of its backend server.
     :param work: requests in progress, and flows whose first request has not come yet.
     :param flows: open flows.
-    :param slots: requests that the backend server can process concurrently.
+    :param slots: requests that the backend server can process concurrently, 0 if there
+        is no server.
     :param version: highest configuration version that it has learned of.
     :param cold_ms: remaining time in which the backend server is slow after its start.
     :param knows_all_flows: whether it knows every flow of its backend server; an agent
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -1,5 +1,7 @@
 """An entry's offers of first packets and searches for owners of flows."""
 
+import pytest
+
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
@@ -120,6 +122,39 @@
     assert not build.of_type(emitted, effects.Reset)
 
 
+def test_search_does_not_wait_for_a_silent_agent_that_had_no_server():
+    """Guards against dead flows that wait for instances that were taken away.
+
+    After a power loss, instances whose servers had left start again and disappear.
+    """
+    entry = build.entry('m-1', 'm-2')
+    gone = build.status(build.relaying.State.GONE, slots=0)
+    entry.members.member_by_name['m-2'].record_status(gone, 0)
+    emitted = entry.on_client_packet(build.request(), 0.5)
+    token = build.sent_messages(emitted, relaying.Find)[0][0].questions[0].token
+    denied = relaying.NotHeld([token], build.status())
+    (reset,) = build.of_type(_receive(entry, 'm-1', denied, 0.51), effects.Reset)
+    assert reset.reason == 'nobody_holds_it'
+
+
+@pytest.mark.parametrize(
+    ('status', 'age_seconds'),
+    [
+        (build.status(build.relaying.State.GONE, slots=0, flows=1), 0.5),
+        (build.status(build.relaying.State.GONE), 0.5),  # only the agent stops
+        (build.status(build.relaying.State.GONE, slots=0), 2.1),  # may be back
+    ],
+)
+def test_search_waits_for_a_silent_agent_that_may_hold_flows(status, age_seconds):
+    entry = build.entry('m-1', 'm-2')
+    entry.members.member_by_name['m-2'].record_status(status, 0)
+    emitted = entry.on_client_packet(build.request(), age_seconds)
+    token = build.sent_messages(emitted, relaying.Find)[0][0].questions[0].token
+    denied = relaying.NotHeld([token], build.status())
+    emitted = _receive(entry, 'm-1', denied, age_seconds + 0.01)
+    assert not build.of_type(emitted, effects.Reset)
+
+
 def test_unsure_members_are_sent_the_packet_at_once():
     entry = build.entry('m-1', 'm-2')
     for member in entry.members.member_by_name.values():
@@ -385,7 +420,7 @@
     entry.on_message(announcement, address, 0.03)
     assert [
         (member.name, member.service)
-        for member in entry.members.serving({'surveys', build.SERVICE})
+        for member in entry.members.serving({'surveys', build.SERVICE}, 0.03)
     ] == [('m-1', 'surveys')]
 
 
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -441,3 +441,16 @@
     response = system.answer(4008, ACK, 501, b'answer')
     assert system.client_socket.recv(2048) == response
     assert system.processes['agent'].wait(WAIT_SECONDS) == 0
+
+
+def test_agent_lists_itself_only_once_its_server_is_heard_of(tmp_path):
+    """Guards against searches that wait for agents of instances without a server."""
+    with store_standin.running() as (state, address):
+        system = _System(tmp_path, address)
+        with contextlib.closing(system):
+            system.start('agent')
+            _wait_until(lambda: 'agent_started' in system.log('agent'))
+            time.sleep(0.3)
+            assert not [key for key in state.item_by_key if 'agents/' in key]
+            _wait_until(lambda: system.announce(1) == 200)
+            _wait_until(lambda: 'egretjunction/agents/agent-1' in state.item_by_key)
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -201,6 +201,7 @@
         system = daemons._System(tmp_path, address)
         with contextlib.closing(system):
             system.start('agent')
+            daemons._wait_until(lambda: system.announce(1) == 200)
             key = 'egretjunction/agents/agent-1'
             daemons._wait_until(lambda: key in state.item_by_key)
             started_at = time.monotonic()
