Commands that evacuate and restore a failure domain

The document could state an evacuation, but only by an edit of the whole file, which the next edit from version control would have taken back.

config evacuate and config restore change just that section and enter the audit trail; apply, revert and diff leave evacuations as they are. A line in evacuate's output and at the entries says which services are left without a server and what their callers get. config status counts the processes at which an evacuation is in force; its JSON gains the key @evacuated, which no domain can be called, only while there is one, so that scripts read the rest as before.

tests/test_evacuations.py runs the commands against a system of separate processes: open flows stay on the evacuated server while new ones leave, a caller without a server is refused with nothing run within its deadline, and a file without the section does not restore the domain. Neither command existed before.

--- a/src/egretjunction/_config_cli.py
+++ b/src/egretjunction/_config_cli.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import pathlib
-import sys
 import typing
 
-import msgspec
 import typer
 
+from egretjunction import _config_options as options
+from egretjunction import _evacuation_cli
 from egretjunction import document_changes
+from egretjunction import evacuations
 from egretjunction import logs
 from egretjunction import operators
 from egretjunction import platform
 from egretjunction import settings
 from egretjunction.decisions import configuration
 from egretjunction.decisions import document
+from egretjunction.decisions import evacuation
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -24,29 +26,6 @@
 DocumentPath = typing.Annotated[
     str, typer.Argument(help='Configuration document, an INI file.')
 ]
-Url = typing.Annotated[
-    str,
-    typer.Option('--platform', help="Base URL of the platform's key-value service."),
-]
-AsJson = typing.Annotated[bool, typer.Option('--json', help='Print JSON.')]
-Who = typing.Annotated[str, typer.Option(help='Operator name, for the audit trail.')]
-Team = typing.Annotated[
-    str, typer.Option(help='Team on whose behalf the change is made.')
-]
-KeyFile = typing.Annotated[str, typer.Option(help="File that holds the team's key.")]
-Note = typing.Annotated[str, typer.Option(help='Reason for the change.')]
-
-
-def _print(value: object, as_json: bool, text: str) -> None:
-    if as_json:
-        sys.stdout.write(f'{msgspec.json.encode(value).decode()}\n')
-    else:
-        sys.stdout.write(f'{text}\n')
-
-
-def _read_author(who: str, team: str, key_file: str, note: str) -> operators.Author:
-    key = settings.read_text(key_file).strip()
-    return operators.Author(who, team, document.digest(key), note)
 
 
 def _load_document(path: str) -> document.Document:
@@ -54,28 +33,32 @@
 
 
 @app.command()
-def check(path: DocumentPath, *, as_json: AsJson = False) -> None:
+def check(path: DocumentPath, *, as_json: options.AsJson = False) -> None:
     """Validate a document without the platform and report all errors."""
     parsed = _load_document(path)
     counts = {'services': len(parsed.services), 'teams': len(parsed.teams)}
     text = f'{path}: {counts["services"]} services, {counts["teams"]} teams, no errors'
-    _print(counts, as_json, text)
+    options.print_value(counts, as_json, text)
 
 
 @app.command()
-def show(url: Url, *, as_json: AsJson = False) -> None:
+def show(url: options.Url, *, as_json: options.AsJson = False) -> None:
     """Print the accepted document."""
     accepted = asyncio.run(operators.read(platform.Platform(url)))
     payload = {'generation': accepted.generation, 'document': accepted.document.text()}
-    _print(payload, as_json, accepted.document.text())
+    options.print_value(payload, as_json, accepted.document.text())
 
 
 @app.command()
-def diff(path: DocumentPath, url: Url, *, as_json: AsJson = False) -> None:
+def diff(
+    path: DocumentPath, url: options.Url, *, as_json: options.AsJson = False
+) -> None:
     """Show the difference between the accepted document and another one."""
     wanted = _load_document(path)
     accepted = asyncio.run(operators.read(platform.Platform(url)))
-    before, after = accepted.document.sections, wanted.sections
+    # Like apply, which leaves evacuations as they are.
+    after = evacuation.with_evacuations_of(wanted, accepted.document).sections
+    before = accepted.document.sections
     changed = configuration.difference(before, after)
     diff_by_section = {
         name: configuration.section_diff(
@@ -83,7 +66,7 @@
         )
         for name in changed
     }
-    _print(
+    options.print_value(
         diff_by_section, as_json, '\n'.join(diff_by_section.values()) or 'no difference'
     )
 
@@ -91,21 +74,22 @@
 @app.command()
 def apply(
     path: DocumentPath,
-    url: Url,
-    who: Who,
-    team: Team,
-    key_file: KeyFile,
+    url: options.Url,
+    who: options.Who,
+    team: options.Team,
+    key_file: options.KeyFile,
     base: typing.Annotated[
         pathlib.Path | None,
         typer.Option(help='Document on which the edit is based.'),
     ] = None,
-    note: Note = '',
+    note: options.Note = '',
     *,
-    as_json: AsJson = False,
+    as_json: options.AsJson = False,
 ) -> None:
     """Apply a document; sections that others changed meanwhile are merged.
 
-    Without ``--base`` the edit is based on the accepted document.
+    Without ``--base`` the edit is based on the accepted document. Evacuations stay as
+    they are, whatever the document says of them.
     Exit codes: 0 accepted, 1 refused, 2 errors in the document, 3 outcome unknown.
     """
     logs.configure('config')
@@ -117,55 +101,64 @@
             base_document = (await operators.read(platform_client)).document
         else:
             base_document = _load_document(str(base))
-        author = _read_author(who, team, key_file, note)
-        return await operators.apply(platform_client, base_document, wanted, author)
+        author = options.read_author(who, team, key_file, note)
+        edited = evacuations.with_evacuations_of(wanted, base_document)
+        return await operators.apply(platform_client, base_document, edited, author)
 
-    _print_change(asyncio.run(run()), as_json)
+    options.print_change(asyncio.run(run()), as_json)
 
 
 @app.command()
 def revert(
     generation: int,
-    url: Url,
-    who: Who,
-    team: Team,
-    key_file: KeyFile,
-    note: Note = '',
+    url: options.Url,
+    who: options.Who,
+    team: options.Team,
+    key_file: options.KeyFile,
+    note: options.Note = '',
     *,
-    as_json: AsJson = False,
+    as_json: options.AsJson = False,
 ) -> None:
-    """Apply the document of an earlier generation as a new generation."""
+    """Apply the document of an earlier generation as a new generation.
+
+    Evacuations stay as they are.
+    """
     logs.configure('config')
     platform_client = platform.Platform(url)
 
     async def run() -> document_changes.Change | None:
         base_document = (await operators.read(platform_client)).document
         wanted = await operators.read_generation(platform_client, generation)
-        author = _read_author(who, team, key_file, note or f'revert to {generation}')
-        return await operators.apply(platform_client, base_document, wanted, author)
+        author = options.read_author(
+            who, team, key_file, note or f'revert to {generation}'
+        )
+        edited = evacuation.with_evacuations_of(wanted, base_document)
+        return await operators.apply(platform_client, base_document, edited, author)
 
-    _print_change(asyncio.run(run()), as_json)
+    options.print_change(asyncio.run(run()), as_json)
 
 
 @app.command()
-def settle(change_id: str, url: Url, *, as_json: AsJson = False) -> None:
+def settle(
+    change_id: str, url: options.Url, *, as_json: options.AsJson = False
+) -> None:
     """Report whether a change with an unknown outcome was accepted."""
     accepted = asyncio.run(operators.read(platform.Platform(url)))
     change = operators.find(accepted, change_id)
     if change is None:
         generation = accepted.generation
-        _print(
+        options.print_value(
             {'change_id': change_id, 'accepted': False, 'generation': generation},
             as_json,
             f'change {change_id} is not among the recent changes up to '
             f'generation {generation}: not accepted',
         )
         raise typer.Exit(1)
-    _print_change(change, as_json)
+    options.print_change(change, as_json)
 
 
 @app.command()
-def history(url: Url, *, as_json: AsJson = False) -> None:
+def history(url: options.Url, *, as_json: options.AsJson = False) -> None:
     """Print the recent changes in the audit trail, newest first."""
     accepted = asyncio.run(operators.read(platform.Platform(url)))
     recent = () if accepted.head is None else accepted.head.recent
@@ -174,35 +167,9 @@
         f'{", ".join(sorted(change.sections))}  {change.note}  {change.change_id}'
         for change in reversed(recent)
     ]
-    _print(recent, as_json, '\n'.join(lines) or 'no changes yet')
-
-
-@app.command()
-def status(
-    admin: typing.Annotated[
-        list[str],
-        typer.Argument(help='Admin addresses of entries and agents, as ip:port.'),
-    ],
-    *,
-    as_json: AsJson = False,
-) -> None:
-    """Print the generation in force on each process, by failure domain."""
-    generations_by_domain = asyncio.run(operators.generations(admin))
-    lines = [
-        f'{domain}: '
-        + ', '.join(
-            f'{name}={generation}'
-            for name, generation in sorted(generation_by_name.items())
-        )
-        for domain, generation_by_name in sorted(generations_by_domain.items())
-    ]
-    _print(generations_by_domain, as_json, '\n'.join(lines))
+    options.print_value(recent, as_json, '\n'.join(lines) or 'no changes yet')
 
 
-def _print_change(change: document_changes.Change | None, as_json: bool) -> None:
-    if change is None:
-        _print(None, as_json, 'nothing to change')
-        return
-    payload = msgspec.structs.asdict(change)
-    text = f'accepted as generation {change.generation}, change {change.change_id}'
-    _print(payload, as_json, text)
+app.command()(_evacuation_cli.evacuate)
+app.command()(_evacuation_cli.restore)
+app.command()(_evacuation_cli.status)
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -1,7 +1,6 @@
 """Operations on the accepted configuration: read, apply, revert and inspect."""
 
 import datetime
-import typing
 import uuid
 
 import msgspec
@@ -112,27 +111,6 @@
     return response.body
 
 
-class _Status(msgspec.Struct):
-    name: str
-    domain: str
-    generation: int
-
-
-async def generations(admins: typing.Iterable[str]) -> dict[str, dict[str, int]]:
-    """Return the generation in force on each process, by failure domain and name.
-
-    :param admins: admin addresses of entries and agents.
-    :raises errors.UnreachableError: when one of them does not respond.
-    """
-    generations_by_domain: dict[str, dict[str, int]] = {}
-    for admin in admins:
-        status = msgspec.json.decode(await status_of(admin), type=_Status)
-        generations_by_domain.setdefault(status.domain, {})[status.name] = (
-            status.generation
-        )
-    return generations_by_domain
-
-
 async def read_generation(
     service: platform.Platform,
     generation: int,
