Document reader: refuse headers that only one of two readers sees

[service x] with text after it was accepted by the parser and unseen by the split into sections, and an indented header the other way round. Entries then failed with KeyError on requests of that service's agents, and patches lost the section. Such headers are now an error with their line. A share of over 4,300 digits ended in the interpreter's ValueError instead of an error with file and line.

Each error carries the name of its rule, for the report of config check. Reading only with the split was ruled out, because the relay's settings use the same parser.

--- a/src/egretjunction/_ini.py
+++ b/src/egretjunction/_ini.py
@@ -1,11 +1,12 @@
 """Reads INI sections into typed structs and collects all errors of a file."""
 
 import configparser
-import re
+import functools
 import typing
 
 import msgspec
 
+from egretjunction import _ini_lines
 from egretjunction import addresses
 from egretjunction import errors
 
@@ -26,35 +27,30 @@
     try:
         parser.read_string(text, source)
     except configparser.Error as error:
-        line = getattr(error, 'lineno', None) or 0
         raise errors.SettingsError(
             source,
             getattr(error, 'section', '*'),
             getattr(error, 'option', '*'),
             str(error).splitlines()[0],
             'INI sections with unique keys',
-            line,
+            _line_of(error),
+            'syntax',
         ) from error
     return parser
 
 
-def find_line(text: str, section: str, key: str) -> int:
-    """Return the line number of a key.
+def _line_of(error: configparser.Error) -> int:
+    """Return the line that an error of the parser names, 0 when it names none."""
+    bad_lines = getattr(error, 'errors', None)
+    if bad_lines:
+        return bad_lines[0][0]
+    return getattr(error, 'lineno', None) or 0
 
-    Falls back to the line of the section header, or to 0 without such a section.
-    """
-    line_number = 0
-    in_section = False
-    for number, line in enumerate(text.splitlines(), start=1):
-        stripped = line.strip()
-        if stripped.startswith('['):
-            in_section = stripped == f'[{section}]'
-            line_number = number if in_section else line_number
-        elif in_section and re.match(
-            rf'{re.escape(key)}\s*[=:]', stripped, re.IGNORECASE
-        ):
-            return number
-    return line_number
+
+# A document has thousands of sections of the same type.
+@functools.cache
+def _fields_of(struct_type: type) -> tuple[msgspec.structs.FieldInfo, ...]:
+    return msgspec.structs.fields(struct_type)
 
 
 def _split_list(raw: str) -> list[str]:
@@ -84,25 +80,35 @@
     :param source: file name for error messages.
     """
 
-    __slots__ = ('collected_errors', 'parser', 'source', 'text')
+    __slots__ = ('_lines', 'collected_errors', 'parser', 'source', 'text')
 
     def __init__(self, text: str, source: str) -> None:
         self.text = text
         self.source = source
         self.parser = parse(text, source)
+        self._lines: _ini_lines.LineIndex | None = None
         self.collected_errors: list[errors.SettingsError] = []
 
-    def add_error(self, section: str, key: str, given: str, allowed: str) -> None:
+    def find_line(self, section: str, key: str) -> int:
+        """Return the line number of a key, or of its section header."""
+        if self._lines is None:
+            self._lines = _ini_lines.LineIndex(self.text)
+        return self._lines.find(section, key)
+
+    def add_error(
+        self, section: str, key: str, given: str, allowed: str, rule: str = 'value'
+    ) -> None:
         """Record an error with its line number.
 
         :param section: section of the rejected value.
         :param key: key in the section, or ``*`` for the section as a whole.
         :param given: the rejected text.
         :param allowed: what would be accepted, in words.
+        :param rule: name of the rule that the value breaks.
         """
-        line = find_line(self.text, section, key)
+        line = self.find_line(section, key)
         self.collected_errors.append(
-            errors.SettingsError(self.source, section, key, given, allowed, line),
+            errors.SettingsError(self.source, section, key, given, allowed, line, rule),
         )
 
     def read(self, section: str, struct_type: type, **preset: object) -> typing.Any:
@@ -121,7 +127,7 @@
         value_by_name = dict(preset)
         fields = {
             field.name: field
-            for field in msgspec.structs.fields(struct_type)
+            for field in _fields_of(struct_type)
             if field.name not in preset
         }
         for name, field in fields.items():
@@ -130,7 +136,8 @@
             if key not in fields:
                 known = ', '.join(sorted(fields))
                 allowed = f'one of {known}' if known else 'no keys'
-                self.add_error(section, key, raw_by_key[key], allowed)
+                given = raw_by_key[key]
+                self.add_error(section, key, given, allowed, 'unknown-key')
         if len(self.collected_errors) > error_count_before:
             return None
         return struct_type(**value_by_name)
@@ -156,7 +163,8 @@
     ) -> None:
         if name not in raw_by_key:
             if field.required:
-                self.add_error(section, name, 'nothing', f'a value for "{name}"')
+                allowed = f'a value for "{name}"'
+                self.add_error(section, name, 'nothing', allowed, 'missing-key')
             return
         raw = raw_by_key[name]
         try:
--- a/src/egretjunction/decisions/document.py
+++ b/src/egretjunction/decisions/document.py
@@ -7,6 +7,7 @@
 
 import fnmatch
 import hashlib
+import re
 import typing
 
 import msgspec
@@ -29,6 +30,7 @@
 PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=SECONDS_PER_DAY)]
 Percent = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
+_SHARE_PERCENT = re.compile('0*(100|[0-9]{1,2})')
 # Prefix of the section header, type of the section, and where it is kept by name.
 _Kinds = tuple[tuple[str, type, dict[str, typing.Any]], ...]
 
@@ -181,8 +183,10 @@
     evacuations: dict[str, Evacuation] = {}
     _read_sections(reader, services, teams, evacuations)
     _check_references(reader, services, teams)
+    sections = split(text)
+    _check_headers(reader, sections)
     reader.raise_errors()
-    return Document(split(text), services, teams, frozenset(evacuations))
+    return Document(sections, services, teams, frozenset(evacuations))
 
 
 def _read_sections(
@@ -210,7 +214,7 @@
                 section_by_name[name] = content
             return
     allowed = '"service NAME" or "team NAME" or "evacuation DOMAIN"'
-    reader.add_error(section, '*', section, allowed)
+    reader.add_error(section, '*', section, allowed, 'unknown-section')
 
 
 def patched_sections(
@@ -274,11 +278,24 @@
         msgspec.convert(name, Name)
     except msgspec.ValidationError:
         allowed = 'lower-case letters, digits, dots and hyphens, at most 63'
-        reader.add_error(section, '*', name, allowed)
+        reader.add_error(section, '*', name, allowed, 'section-name')
         return None
     return reader.read(section, section_type, name=name)
 
 
+def _check_headers(reader: _ini.SectionReader, sections: dict[str, str]) -> None:
+    """Check that both ways to find sections agree.
+
+    The parser also takes a header with text after it, and takes an indented header for
+    a continued value. Changes travel by section, so that a document of which only one
+    of the two sees a section cannot be patched or sent to agents.
+    """
+    parsed = set(reader.parser.sections())
+    for section in sorted(parsed.symmetric_difference(sections) - {''}):
+        allowed = 'a line with nothing but [section], not indented'
+        reader.add_error(section, '*', section, allowed, 'header')
+
+
 def _check_references(
     reader: _ini.SectionReader,
     services: dict[str, Service],
@@ -289,13 +306,13 @@
         section = SERVICE_PREFIX + service.name
         if service.team not in teams:
             defined_teams = ', '.join(sorted(teams)) or 'none is defined'
-            reader.add_error(
-                section, 'team', service.team, f'a defined team: {defined_teams}'
-            )
+            allowed = f'a defined team: {defined_teams}'
+            reader.add_error(section, 'team', service.team, allowed, 'undefined-team')
         other_section = section_by_address.setdefault(service.address, section)
         if other_section != section:
             allowed = f'an address that [{other_section}] does not use'
-            reader.add_error(section, 'address', str(service.address), allowed)
+            given = str(service.address)
+            reader.add_error(section, 'address', given, allowed, 'duplicate-address')
         _check_shares(reader, section, service)
 
 
@@ -306,11 +323,9 @@
 ) -> None:
     for share in service.shares:
         percent = share.rpartition(':')[2]
-        is_number = percent.isascii() and percent.isdigit()
-        is_pair = ':' in share and is_number
-        if not is_pair or int(percent) > FULL_SHARE_PERCENT:
+        if ':' not in share or not _SHARE_PERCENT.fullmatch(percent):
             allowed = 'pattern:percent pairs such as bookings-1:50, percent up to 100'
-            reader.add_error(section, 'shares', share, allowed)
+            reader.add_error(section, 'shares', share, allowed, 'shares')
 
 
 def owner_of(document: Document, section: str) -> str | None:
--- a/src/egretjunction/errors.py
+++ b/src/egretjunction/errors.py
@@ -19,6 +19,7 @@
     :param given: the rejected text.
     :param allowed: what would be accepted, in words.
     :param line: line number in the file, 0 when it is not known.
+    :param rule: name of the rule that the value breaks.
     """
 
     exit_code = EXIT_USAGE
@@ -31,7 +32,9 @@
         given: str,
         allowed: str,
         line: int = 0,
+        rule: str = 'value',
     ) -> None:
+        self.rule = rule
         self.source = source
         self.section = section
         self.key = key
--- a/tests/decisions/test_document.py
+++ b/tests/decisions/test_document.py
@@ -43,6 +43,27 @@
     assert expected in _error_text(builders.DOCUMENT.replace(before, after))
 
 
+@pytest.mark.parametrize(
+    ('before', 'after', 'line'),
+    [
+        ('[service bookings]', '[service bookings] # ours', 0),
+        ('feed_paths', '  [service surveys]\nfeed_paths', 8),
+        ('feed_paths', 'feed_paths = /a\x0c[service surveys]\nlarge', 9),
+    ],
+)
+def test_a_header_that_only_one_reader_sees_is_refused(before, after, line):
+    """Guards against an accepted section that entries cannot send to agents."""
+    text = builders.DOCUMENT.replace(before, after, 1)
+    assert f'doc.ini:{line}: section "service' in _error_text(text)
+    assert 'nothing but [section], not indented' in _error_text(text)
+
+
+def test_a_share_of_thousands_of_digits_is_an_error_like_any():
+    """Guards against the interpreter's own error about long numbers."""
+    text = f'{builders.DOCUMENT}shares = bookings-1:{"1" * 5000}\n'
+    assert 'percent up to 100' in _error_text(text)
+
+
 def test_two_services_cannot_have_the_same_address():
     second = builders.DOCUMENT.partition('\n\n')[2].replace('bookings', 'surveys')
     assert 'that [service bookings] does not use' in _error_text(
