Cost estimates at agents: wait_ms, request_ms and failure_percent

Cause: a status tells only how many requests an agent has, so that placement treats requests of 7 and of 69 ms, and servers of full and half speed, alike.

Ruled out: time from request to answer as the duration, which includes queueing at the server; a single decayed mean, which takes 40 requests to follow a tenfold change; hdrhistogram, which is loaded with the first scrape because of its start-up cost and has no decay.

Change: decisions/load/durations.py keeps a decayed mean and a histogram of 18 buckets for each route, and starts the mean anew on a change of cost. backlog.py derives from sent and answered requests when each one began to run (FIFO over the slots), and from that durations and the expected wait. outcomes.py keeps the decayed share of resets and unanswered requests. Durations across a pause of the agent and from a cold server are kept apart. The status, /status and the metrics have the three fields.

record_answer takes the time as an argument; the tests of relay_work pass it.

--- /dev/null
+++ b/src/egretjunction/decisions/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load of a backend server as learned from its flows, and placement by it."""
--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -8,6 +8,8 @@
 from egretjunction.decisions import relay_flows
 from egretjunction.decisions import relay_server
 from egretjunction.decisions import relay_work
+from egretjunction.decisions.load import backlog
+from egretjunction.decisions.load import reports
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
@@ -45,8 +47,10 @@
         self._flow_by_key: dict[bytes, relay_flows.Flow] = {}
         self._probe_by_token: dict[int, relay_flows.Probe] = {}
         self._last_heard_by_entry: dict[addresses.Address, float] = {}
+        self._backlog = backlog.Backlog(codec.destination_of, server.slots)
+        self._reports = reports.Reports()
         self._requests = relay_work.RequestTracker(
-            codec.segment_bytes, max_flow_seconds
+            codec.segment_bytes, max_flow_seconds, self._backlog
         )
         self._waiting_entries: set[addresses.Address] = set()
         self._last_token = 0
@@ -107,7 +111,9 @@
             emitted += self._accept_provisional(packet.key, flow, now)
         flow.is_server_confirmed = True
         if packet.data_bytes:
-            self._requests.record_answer(packet)
+            self._requests.record_answer(packet, now)
+        if packet.is_reset and flow.ended_at is None:
+            self._backlog.reset(packet.key, now)
         if packet.is_reset or packet.is_last:
             self._mark_ended(packet.key, flow, now)
         return emitted + self._notify_waiting_entries(now)
@@ -153,6 +159,7 @@
         emitted: list[effects.Effect] = []
         if change is relay_server.HeartbeatChange.RESTARTED:
             emitted += self._reset_all('server_restarted')
+        self._backlog.configure(self.server.slots, self.server.cold_ms(now), now)
         if change is not relay_server.HeartbeatChange.NOTHING:
             emitted.append(
                 effects.Log(
@@ -187,6 +194,9 @@
             answers of the server may still be unread.
         """
         emitted: list[effects.Effect] = []
+        self._backlog.tick(now)
+        if self._reports.is_possible(now):
+            emitted += self._reports.pop_due(self.status(now), self.server.name, now)
         self.server.discount_pause(pause_seconds)
         for pending in self._probe_by_token.values():
             pending.expires_at += pause_seconds
@@ -224,6 +234,9 @@
             self.version,
             self.server.cold_ms(now),
             self.server.is_known_since_start or self.server.is_gone,
+            wait_ms=self._requests.wait_ms(now),
+            request_ms=self._backlog.request_ms,
+            failure_percent=self._backlog.outcomes.failure_percent(now),
         )
 
     def announce(
@@ -512,7 +525,7 @@
     def _mark_ended(self, key: bytes, flow: relay_flows.Flow, now: float) -> None:
         if flow.ended_at is None:
             flow.ended_at = now
-        self._requests.finish(key)
+        self._requests.finish(key, now)
 
     def _remove_flow(self, key: bytes) -> None:
         self._flow_by_key.pop(key, None)
--- a/src/egretjunction/decisions/relay_work.py
+++ b/src/egretjunction/decisions/relay_work.py
@@ -7,7 +7,9 @@
 
 import heapq
 
+from egretjunction.decisions.load import backlog
 from egretjunction.relay import packets
+from egretjunction.wire import relaying
 
 QUEUE_SHARE = 0.5  # of the slots; covers the delay between an answer and an offer
 FIRST_RESERVATION_SECONDS = 0.06  # until the first handshake has been measured
@@ -47,9 +49,11 @@
         answer.
     :param unknown_timeout_seconds: deadline of a request whose route is not known,
         until one of another request is.
+    :param server_backlog: estimates the remaining work of these requests.
     """
 
     __slots__ = (
+        '_backlog',
         '_data_end_by_key',
         '_expiry_by_key',
         '_expiry_queue',
@@ -61,7 +65,13 @@
         '_unknown_timeout',
     )
 
-    def __init__(self, segment_bytes: int, unknown_timeout_seconds: float) -> None:
+    def __init__(
+        self,
+        segment_bytes: int,
+        unknown_timeout_seconds: float,
+        server_backlog: backlog.Backlog,
+    ) -> None:
+        self._backlog = server_backlog
         self._segment_bytes = segment_bytes
         self._unknown_timeout = unknown_timeout_seconds
         self._longest_timeout = float(0)
@@ -113,22 +123,26 @@
         expires_at = now + self._timeout_of(packet.key)
         self._expiry_by_key[packet.key] = expires_at
         heapq.heappush(self._expiry_queue, (expires_at, packet.key))
+        self._backlog.start(packet.key, now)
 
-    def record_answer(self, packet: packets.Packet) -> None:
+    def record_answer(self, packet: packets.Packet, now: float) -> None:
         """Record a server packet; a request ends with the last packet of its answer.
 
         A packet with less data than fits into one is the last of an answer.
         """
         if 0 < packet.data_bytes < self._segment_bytes:
-            self.finish(packet.key)
+            self._expiry_by_key.pop(packet.key, None)
+            self._backlog.complete(packet.key, now)
 
-    def finish(self, key: bytes) -> None:
-        """Mark the request of a flow as finished."""
+    def finish(self, key: bytes, now: float) -> None:
+        """Mark the request of a flow as finished, with or without an answer."""
         self._expiry_by_key.pop(key, None)
+        self._backlog.abandon(key, now)
 
     def remove(self, key: bytes) -> None:
         """Remove the records of a flow."""
         self._expiry_by_key.pop(key, None)
+        self._backlog.remove(key)
         self._reserved_since_by_key.pop(key, None)
         self._data_end_by_key.pop(key, None)
         self._timeout_by_key.pop(key, None)
@@ -140,6 +154,14 @@
         self._reserved_since_by_key.clear()
         self._data_end_by_key.clear()
         self._timeout_by_key.clear()
+        self._backlog.clear()
+
+    def wait_ms(self, now: float) -> int:
+        """Return the expected time until a new request starts, or ``NO_ESTIMATE``."""
+        seconds = self._backlog.wait_seconds(self._reserved_since_by_key, now)
+        if seconds is None:
+            return relaying.NO_ESTIMATE
+        return round(seconds * backlog.MILLISECONDS_PER_SECOND)
 
     def load(self, now: float) -> int:
         """Return the number of active and expected requests."""
@@ -171,3 +193,4 @@
             expires_at, expired_key = heapq.heappop(self._expiry_queue)
             if self._expiry_by_key.get(expired_key) == expires_at:
                 self._expiry_by_key.pop(expired_key)
+                self._backlog.expire(expired_key, now)
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -24,6 +24,7 @@
 # A process that exceeds its CPU quota is stalled for less than this; its ticks are then
 # late all the time, and a lost server would be noticed late.
 MIN_PAUSE_SECONDS = 0.25
+ESTIMATES = ('request_ms', 'wait_ms', 'failure_percent')  # fields of the status
 DRAIN_MARGIN_SECONDS = 1.0  # of the grace period; left for the last call to the store
 
 
@@ -104,20 +105,27 @@
         gauge = self._metrics.gauge
         gauge('flows', lambda: self._flows.flow_count)
         gauge('requests_at_work', lambda: self._flows.active_requests(self._clock()))
+        for name in ESTIMATES:
+            gauge(name, self._estimate_reader(name))
         gauge(
             'datagrams_unsent',
             lambda: self._entries.dropped + self._outbound.dropped,
         )
 
+    def _estimate_reader(self, name: str) -> typing.Callable[[], float]:
+        return lambda: getattr(self._flows.status(self._clock()), name)
+
     def _status(self) -> bytes:
         now = self._clock()
+        status = self._flows.status(now)
         summary = {
             'name': self._settings.name,
             'domain': self._settings.domain,
             'service': self._settings.service,
             'server': self._server.name,
             'state': self._flows.state(now).name.lower(),
-            'work': self._flows.status(now).work,
+            'work': status.work,
+            **{name: getattr(status, name) for name in ESTIMATES},
             'flows': self._flows.flow_count,
             'version': self._flows.version,
         }
--- a/tests/decisions/test_relay_work.py
+++ b/tests/decisions/test_relay_work.py
@@ -3,6 +3,7 @@
 import pytest
 
 from egretjunction.decisions import relay_work
+from egretjunction.decisions.load import backlog
 from tests import relay_builders as build
 
 SEGMENT_BYTES = 1200
@@ -11,7 +12,10 @@
 
 
 def _tracker():
-    return relay_work.RequestTracker(SEGMENT_BYTES, build.MAX_FLOW_SECONDS)
+    server_backlog = backlog.Backlog(build.Codec().destination_of, 2)
+    return relay_work.RequestTracker(
+        SEGMENT_BYTES, build.MAX_FLOW_SECONDS, server_backlog
+    )
 
 
 def _segment(data_bytes):
@@ -24,9 +28,9 @@
     tracker.reserve(build.KEY, 8.0, 0)
     tracker.record_sent(build.request(), 0.01)
     for _ in range(66):
-        tracker.record_answer(_segment(SEGMENT_BYTES))
+        tracker.record_answer(_segment(SEGMENT_BYTES), 0.5)
         assert tracker.load(0.5) == 1
-    tracker.record_answer(_segment(800))
+    tracker.record_answer(_segment(800), 0.5)
     assert tracker.load(0.5) == 0
 
 
@@ -54,7 +58,7 @@
 def test_acknowledgement_without_data_ends_no_request():
     tracker = _tracker()
     tracker.record_sent(build.request(), 0)
-    tracker.record_answer(_segment(0))
+    tracker.record_answer(_segment(0), 0.1)
     assert tracker.load(0.1) == 1
 
 
@@ -62,7 +66,7 @@
     tracker = _tracker()
     tracker.reserve(build.KEY, 1.0, 0)
     tracker.record_sent(build.request(), 0)
-    tracker.record_answer(_segment(100))
+    tracker.record_answer(_segment(100), 0.1)
     tracker.record_sent(build.request(sequence=301), 0.9)
     assert tracker.load(1.5) == 1
 
