Move searches for owners of flows into relay_searching

relay_entry.py had 614 lines, with offers, searches, introductions and records of flows in one class, and the search is about to change.

Searches move to decisions/relay_searching.py, announcements and mistaken agents to relay_introducing.py, tokens and the confirmation of owners to relay_pending.py. Behaviour is unchanged: the tests of entries, questions, restored stores and the state machine pass with one renamed constant.

--- a/src/egretjunction/decisions/relay_effects.py
+++ b/src/egretjunction/decisions/relay_effects.py
@@ -1,6 +1,7 @@
 """Effects that a daemon carries out for the decisions about relayed flows."""
 
 from egretjunction import addresses
+from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
 MILLISECONDS_PER_SECOND = 1_000
@@ -77,3 +78,8 @@
 def milliseconds(seconds: float) -> float:
     """Return a duration in milliseconds, rounded for the log."""
     return round(seconds * MILLISECONDS_PER_SECOND, 1)
+
+
+def reset_of(packet: packets.Packet, reason: str) -> Reset:
+    """Return a reset of the flow that a client's packet belongs to."""
+    return Reset(packet.key, packet.acknowledged, reason)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -4,24 +4,18 @@
 
 from egretjunction import addresses
 from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_introducing
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_pending
-from egretjunction.decisions import relay_questions
 from egretjunction.decisions import relay_routes
+from egretjunction.decisions import relay_searching
 from egretjunction.decisions import relay_waiting
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
 OFFER_TIMEOUT_SECONDS = 0.06  # round trip to another failure domain, plus a handshake
 REOFFER_INTERVAL_SECONDS = 0.05  # between offers of waiting first packets
-SEARCH_ROUND_SECONDS = 0.08  # an agent's probe of its server, plus a round trip
-MAX_SEARCH_SECONDS = 1.0
-LISTING_SECONDS = 0.02  # the store answers within a few milliseconds
-EARLY_PACKET_SECONDS = 0.02  # answers are late by at most the latency between domains
-MAX_QUEUED_PACKETS = 32  # per flow; covers both of its windows
-MAX_MEMBERS_PER_ROUND = 64  # agents asked at once in a search
 FULL_SECONDS_PER_MEMBER = 0.002  # allows 500 offers per second to full servers
-MAX_PENDING = 4096  # offers and searches
 
 
 class EntryFlows:
@@ -52,17 +46,17 @@
         self._flow_by_key: dict[bytes, relay_pending.Flow] = {}
         self._offer_by_token: dict[int, relay_pending.Offer] = {}
         self._waiting_offers = relay_waiting.WaitingOffers()
-        self._search_by_token: dict[int, relay_pending.Search] = {}
-        self._question_queue = relay_questions.QuestionQueue(link_mbps)
-        self._token_by_key: dict[bytes, int] = {}
-        self._last_token = 0
+        self._tokens = relay_pending.Tokens()
+        self._searches = relay_searching.Searches(
+            members, routes, codec, self._tokens, link_mbps
+        )
         self._last_cleanup_at = float('-inf')
         self._last_reoffer_at = float('-inf')
         self._handler_by_type: dict[type, typing.Any] = {
             relaying.Held: self._on_held,
             relaying.Passed: self._on_passed,
-            relaying.NotHeld: self._on_not_held,
-            relaying.Unsure: self._on_unsure,
+            relaying.NotHeld: self._searches.on_not_held,
+            relaying.Unsure: self._searches.on_unsure,
             relaying.Returned: self._on_returned,
             relaying.Pong: self._on_pong,
         }
@@ -75,7 +69,7 @@
     @property
     def pending_count(self) -> int:
         """Return the number of pending offers and searches."""
-        return len(self._token_by_key)
+        return self._tokens.count
 
     def on_client_packet(
         self,
@@ -90,7 +84,7 @@
             return self._on_unknown_flow(packet, now)
         flow.used_at = now
         if not flow.is_owner_confirmed:
-            self._confirm_owner(flow, packet)
+            flow.confirm_owner(packet.acknowledged)
         owner = self.members.member_by_address.get(flow.owner)
         if owner is None or owner.is_dead(now):
             self._flow_by_key.pop(packet.key)
@@ -108,7 +102,7 @@
     ) -> list[effects.Effect]:
         """Handle a message from an agent."""
         if isinstance(message, relaying.Announce):
-            return self._on_announce(message, agent, now)
+            return self._on_announced(message, agent, now)
         member = self.members.member_by_address.get(agent)
         handler = self._handler_by_type.get(type(message))
         if handler is None:
@@ -131,30 +125,24 @@
         )
         return [event, *emitted]
 
-    def _on_announce(
+    def _on_announced(
         self,
         announcement: relaying.Announce,
         agent: addresses.Address,
         now: float,
     ) -> list[effects.Effect]:
-        """Add an agent that has just started, before the store's listing is read."""
-        member = relay_members.Member(
-            announcement.name,
-            announcement.service,
-            announcement.domain,
-            addresses.Address(*agent),
-        )
-        emitted: list[effects.Effect] = []
-        if self.members.add_or_update(member) is not None:
-            event = effects.Log(
-                'member_announced', member=member.name, service=member.service
-            )
-            emitted.append(event)
-        pong = relaying.Pong(
-            relaying.compute_service_tag(announcement.service), announcement.status
+        member, emitted = relay_introducing.add_announced(
+            self.members, announcement, agent
         )
+        service_tag = relaying.compute_service_tag(announcement.service)
+        pong = relaying.Pong(service_tag, announcement.status)
         return emitted + self.on_message(pong, member.address, now)
 
+    def _on_pong(
+        self, pong: relaying.Pong, member: relay_members.Member, _now: float
+    ) -> list[effects.Effect]:
+        return relay_introducing.check_identity(pong, member, self.routes.version)
+
     def tick(self, now: float, stalled_seconds: float = 0) -> list[effects.Effect]:
         """Run all timers that are due.
 
@@ -176,10 +164,7 @@
         for token, offer in list(self._offer_by_token.items()):
             if now >= offer.due_at:
                 emitted += self._advance_offer(token, offer, now)
-        for token, search in list(self._search_by_token.items()):
-            if now >= search.due_at:
-                emitted += self._advance_search(token, search, now)
-        emitted += self._send_due_questions(now)
+        emitted += self._searches.tick(now)
         if now - self._last_cleanup_at > 1:
             self._last_cleanup_at = now
             self._remove_expired(now)
@@ -188,7 +173,7 @@
     def _on_first_packet(
         self, packet: packets.Packet, now: float
     ) -> list[effects.Effect]:
-        token = self._token_by_key.get(packet.key)
+        token = self._tokens.token_of(packet.key)
         offer = self._offer_by_token.get(token or 0)
         if offer is not None and token is not None:
             offer.last_seen_at = now
@@ -203,13 +188,13 @@
         destination = self._codec.destination_of(packet.key)
         route = self.routes.route_at(destination)
         if route is None:
-            return [_reset_flow(packet, 'no_route')]
-        if len(self._token_by_key) >= MAX_PENDING:
-            return [_reset_flow(packet, 'too_many_pending')]
+            return [effects.reset_of(packet, 'no_route')]
+        if self._tokens.count >= relay_pending.MAX_PENDING:
+            return [effects.reset_of(packet, 'too_many_pending')]
         service = relay_routes.choose_service(route, packet.key)
         opening = self._codec.opening
         offer = relay_pending.Offer(packet, service, route, opening, now)
-        token = self._next_token(packet.key)
+        token = self._tokens.issue(packet.key)
         self._offer_by_token[token] = offer
         return self._advance_offer(token, offer, now)
 
@@ -225,7 +210,7 @@
             return self._handle_early_packets(offer.early_packets, now)
         if relay_waiting.is_expired(offer, now):
             self._end_offer(token, offer)
-            return [_reset_flow(offer.packet, 'nobody_took_it')]
+            return [effects.reset_of(offer.packet, 'nobody_took_it')]
         member = self._next_member(offer, now)
         if member is None and not offer.is_final:
             offer.is_final = True
@@ -320,115 +305,12 @@
         """
         if packet.is_reset:
             return []
-        token = self._token_by_key.get(packet.key)
-        search = self._search_by_token.get(token or 0)
-        if search is not None:
-            search.denied.update(denied_by)
-            if len(search.queue) < MAX_QUEUED_PACKETS:
-                search.queue.append(packet)
-            return []
+        token = self._tokens.token_of(packet.key)
         offer = self._offer_by_token.get(token or 0)
         if offer is not None and token is not None:
-            return self._on_early_packet(token, offer, packet, now)
-        return self._start_search(packet, now, denied_by)
-
-    def _on_early_packet(
-        self,
-        token: int,
-        offer: relay_pending.Offer,
-        packet: packets.Packet,
-        now: float,
-    ) -> list[effects.Effect]:
-        """Queue a client packet that arrives before the agent's answer to the offer.
-
-        The answer of an agent in another failure domain can reach the client before
-        it reaches this entry.
-        """
-        if len(offer.early_packets) < MAX_QUEUED_PACKETS:
-            offer.early_packets.append(packet)
-        offer.due_at = min(offer.due_at, now + EARLY_PACKET_SECONDS)
-        return []
-
-    def _start_search(
-        self, packet: packets.Packet, now: float, denied_by: typing.Iterable[str]
-    ) -> list[effects.Effect]:
-        destination = self._codec.destination_of(packet.key)
-        services = self.routes.known_services(destination)
-        if not services or self.routes.route_at(destination) is None:
-            return [_reset_flow(packet, 'no_route')]
-        if len(self._token_by_key) >= MAX_PENDING:
+            offer.add_early_packet(packet, now)
             return []
-        search = relay_pending.Search(packet.key, services, now)
-        search.queue.append(packet)
-        search.denied.update(denied_by)
-        token = self._next_token(packet.key)
-        self._search_by_token[token] = search
-        return self._advance_search(token, search, now)
-
-    def _advance_search(
-        self,
-        token: int,
-        search: relay_pending.Search,
-        now: float,
-    ) -> list[effects.Effect]:
-        """Ask the next members, those of the own failure domain first.
-
-        Flows are placed in the own domain unless its servers are full, so that most
-        searches send nothing to other domains when the routers move flows to other
-        entries of the domain. That nobody holds a flow is known only once all members
-        of a complete view have denied it.
-        """
-        if now - search.started_at > MAX_SEARCH_SECONDS:
-            self._end_search(token, search)
-            return [effects.Log('search_failed', flow=search.key.hex())]
-        members = self.members.serving(search.services)
-        reachable = [member for member in members if not member.is_dead(now)]
-        candidates = [
-            member for member in reachable if member.name not in search.denied
-        ]
-        if not candidates and (
-            self.members.has_unidentified(now) or not self.members.is_complete(now)
-        ):
-            search.due_at = now + LISTING_SECONDS
-            return []
-        if not candidates:
-            self._end_search(token, search)
-            return [_reset_flow(search.queue[-1], 'nobody_holds_it')]
-        search.due_at = now + SEARCH_ROUND_SECONDS
-        unasked = [member for member in candidates if member.name not in search.asked]
-        near = [member for member in unasked if self.members.is_near(member)]
-        for member in (near or unasked or candidates)[:MAX_MEMBERS_PER_ROUND]:
-            search.asked.add(member.name)
-            self._add_question(token, search, member)
-        return list(self._send_due_questions(now))
-
-    def _add_question(
-        self,
-        token: int,
-        search: relay_pending.Search,
-        member: relay_members.Member,
-    ) -> None:
-        """Queue a question to a member, or a packet to probe its server with."""
-        packet = search.queue[0]
-        if member.status.knows_all_flows and member.name not in search.unsure:
-            question = relaying.Question(token, search.key, packet.acknowledged)
-            self._question_queue.add(member.address, question)
-        else:
-            self._question_queue.add_ask(
-                member.address, relaying.Ask(token, packet.raw)
-            )
-
-    def _send_due_questions(self, now: float) -> list[effects.Send]:
-        """Send the queued questions that the byte budget allows now."""
-        emitted = self._question_queue.pop_due(now, self._search_by_token.__contains__)
-        for send in emitted:
-            member = self.members.member_by_address.get(send.address)
-            if member is None:
-                continue
-            member.record_request(now)
-            if isinstance(send.message, relaying.Ask):
-                self._search_by_token[send.message.token].probed.add(member.name)
-        return emitted
+        return self._searches.on_packet(packet, now, denied_by)
 
     def _on_held(
         self,
@@ -442,7 +324,7 @@
             self._flow_by_key[held.key] = flow
         if held.sequence:
             flow.owner_by_sequence[held.sequence] = member.address
-        token = self._token_by_key.get(held.key)
+        token = self._tokens.token_of(held.key)
         if token is None:
             return []
         offer = self._offer_by_token.get(token)
@@ -461,24 +343,9 @@
                 ms=effects.milliseconds(now - offer.started_at),
             )
             return [placed_event, *self._handle_early_packets(offer.early_packets, now)]
-        search = self._search_by_token[token]
-        self._end_search(token, search)
         flow.owner = member.address
         flow.is_owner_confirmed = True
-        located_event = effects.Log(
-            'flow_located',
-            flow=held.key.hex(),
-            member=member.name,
-            packets=len(search.queue),
-            ms=effects.milliseconds(now - search.started_at),
-        )
-        return [
-            located_event,
-            *(
-                effects.Send(member.address, relaying.Deliver(packet.raw))
-                for packet in search.queue[member.name in search.probed :]
-            ),
-        ]
+        return self._searches.end_with(token, member, now)
 
     def _handle_early_packets(
         self,
@@ -501,44 +368,6 @@
             return []
         return self._advance_offer(passed.token, offer, now)
 
-    def _on_not_held(
-        self,
-        denial: relaying.NotHeld,
-        member: relay_members.Member,
-        now: float,
-    ) -> list[effects.Effect]:
-        emitted: list[effects.Effect] = []
-        for token in denial.tokens:
-            search = self._search_by_token.get(token)
-            if search is not None:
-                search.denied.add(member.name)
-                emitted += self._continue_search(token, search, now)
-        return emitted
-
-    def _on_unsure(
-        self,
-        unsure: relaying.Unsure,
-        member: relay_members.Member,
-        now: float,
-    ) -> list[effects.Effect]:
-        for token in unsure.tokens:
-            search = self._search_by_token.get(token)
-            if search is not None:
-                search.unsure.add(member.name)
-                self._add_question(token, search, member)
-        return list(self._send_due_questions(now))
-
-    def _continue_search(
-        self,
-        token: int,
-        search: relay_pending.Search,
-        now: float,
-    ) -> list[effects.Effect]:
-        """Continue a search at once if all members asked so far have denied it."""
-        if search.asked <= search.denied:
-            return self._advance_search(token, search, now)
-        return []
-
     def _on_returned(
         self,
         returned: relaying.Returned,
@@ -554,52 +383,10 @@
             return []
         return self._on_unknown_flow(packet, now, {member.name})
 
-    def _on_pong(
-        self,
-        pong: relaying.Pong,
-        member: relay_members.Member,
-        _now: float,
-    ) -> list[effects.Effect]:
-        """Ask an agent that answers in place of the listed one to announce itself."""
-        was_mistaken = member.is_mistaken
-        listed_tag = relaying.compute_service_tag(member.service)
-        member.is_mistaken = pong.service_tag != listed_tag
-        if not member.is_mistaken:
-            return []
-        member.is_listed = False
-        if was_mistaken:
-            return []
-        ping = relaying.Ping(self.routes.version, is_unlisted=True)
-        return [
-            effects.Log('member_mistaken', member=member.name, service=member.service),
-            effects.Send(member.address, ping),
-        ]
-
-    def _confirm_owner(self, flow: relay_pending.Flow, packet: packets.Packet) -> None:
-        """Set the owner to the agent whose server the client has acknowledged.
-
-        A client acknowledges the initial sequence number of the server or the next one.
-        """
-        flow.is_owner_confirmed = True
-        for offset in (0, 1):
-            sequence = (packet.acknowledged - offset) % packets.SEQUENCE_RANGE
-            owner = flow.owner_by_sequence.get(sequence)
-            if owner is not None:
-                flow.owner = owner
-
-    def _next_token(self, key: bytes) -> int:
-        self._last_token = self._last_token % (packets.SEQUENCE_RANGE - 1) + 1
-        self._token_by_key[key] = self._last_token
-        return self._last_token
-
     def _end_offer(self, token: int, offer: relay_pending.Offer) -> None:
         self._waiting_offers.remove(offer)
         self._offer_by_token.pop(token, None)
-        self._token_by_key.pop(offer.key, None)
-
-    def _end_search(self, token: int, search: relay_pending.Search) -> None:
-        self._search_by_token.pop(token, None)
-        self._token_by_key.pop(search.key, None)
+        self._tokens.release(offer.key)
 
     def _remove_expired(self, now: float) -> None:
         for key, flow in list(self._flow_by_key.items()):
@@ -608,7 +395,3 @@
         for member in self.members.expired(now):
             if not member.is_listed:
                 self.members.remove(member)
-
-
-def _reset_flow(packet: packets.Packet, reason: str) -> effects.Reset:
-    return effects.Reset(packet.key, packet.acknowledged, reason)
--- a/src/egretjunction/decisions/relay_pending.py
+++ b/src/egretjunction/decisions/relay_pending.py
@@ -4,6 +4,10 @@
 from egretjunction.decisions import relay_routes
 from egretjunction.relay import packets
 
+EARLY_PACKET_SECONDS = 0.02  # answers are late by at most the latency between domains
+MAX_QUEUED_PACKETS = 32  # per flow; covers both of its windows
+MAX_PENDING = 4096  # offers and searches
+
 
 class Flow:
     """A flow and the agent that receives its packets.
@@ -24,6 +28,20 @@
         self.is_owner_confirmed = False
         self.used_at = now
 
+    def confirm_owner(self, acknowledged: int) -> None:
+        """Set the owner to the agent whose server the client has acknowledged.
+
+        A client acknowledges the initial sequence number of the server or the next one.
+
+        :param acknowledged: acknowledgement number of the client's packet.
+        """
+        self.is_owner_confirmed = True
+        for offset in (0, 1):
+            sequence = (acknowledged - offset) % packets.SEQUENCE_RANGE
+            owner = self.owner_by_sequence.get(sequence)
+            if owner is not None:
+                self.owner = owner
+
 
 class Offer:
     """A first packet that no agent has accepted yet.
@@ -86,6 +104,16 @@
         """Return the key of the flow."""
         return self.packet.key
 
+    def add_early_packet(self, packet: packets.Packet, now: float) -> None:
+        """Queue a client packet that arrives before the agent's answer to the offer.
+
+        The answer of an agent in another failure domain can reach the client before
+        it reaches this entry.
+        """
+        if len(self.early_packets) < MAX_QUEUED_PACKETS:
+            self.early_packets.append(packet)
+        self.due_at = min(self.due_at, now + EARLY_PACKET_SECONDS)
+
 
 class Search:
     """A search for the owner of a flow that this entry has no record of.
@@ -121,3 +149,32 @@
         self.denied: set[str] = set()
         self.started_at = now
         self.due_at = now
+
+
+class Tokens:
+    """Tokens of the pending offers and searches of one entry, by the flow's key."""
+
+    __slots__ = ('_last_token', '_token_by_key')
+
+    def __init__(self) -> None:
+        self._last_token = 0
+        self._token_by_key: dict[bytes, int] = {}
+
+    @property
+    def count(self) -> int:
+        """Return the number of tokens in use."""
+        return len(self._token_by_key)
+
+    def token_of(self, key: bytes) -> int | None:
+        """Return the token of a flow's offer or search, if one is pending."""
+        return self._token_by_key.get(key)
+
+    def issue(self, key: bytes) -> int:
+        """Return a new token for a flow."""
+        self._last_token = self._last_token % (packets.SEQUENCE_RANGE - 1) + 1
+        self._token_by_key[key] = self._last_token
+        return self._last_token
+
+    def release(self, key: bytes) -> None:
+        """Forget the token of a flow."""
+        self._token_by_key.pop(key, None)
--- a/tests/decisions/test_relay_entry.py
+++ b/tests/decisions/test_relay_entry.py
@@ -4,6 +4,7 @@
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
+from egretjunction.decisions import relay_searching
 from egretjunction.wire import relaying
 from tests import relay_builders as build
 
@@ -300,7 +301,7 @@
 def test_search_asks_other_domains_if_the_own_one_does_not_answer_in_time():
     entry = _entry_with_far_members(2, 3)
     entry.on_client_packet(build.request(), 0)
-    emitted = entry.tick(relay_entry.SEARCH_ROUND_SECONDS + 0.001)
+    emitted = entry.tick(relay_searching.SEARCH_ROUND_SECONDS + 0.001)
     assert {build.member_address(f'm-{n}') for n in range(2, 5)} <= _asked(emitted)
 
 
