Remember denials beyond the end of a search

Cause: a search that one agent does not answer is abandoned after a second, and all denials were forgotten with it.

Denials are kept per flow as a bit mask of agents, for 10 s after the last packet and 4,096 flows. An agent gets a new bit when its record is replaced, when its status tells of a restart of itself or of its server, or when another agent answers at its address; what it denied before then no longer counts. The record of a flow is dropped when the flow is opened anew here; a key that is reused through another entry is told by the sequence numbers of client and server, which start at random.

The steps of a search work on the masks instead of scanning all members, and only unidentified members are looked at for the completeness of the view.

Ruled out: a set of names per flow, which takes 100 kB per flow at 1,000 agents; a time of its own per denial, since a denial stays true until the key is used again.

Three of the new tests fail before the change (a new search asks all agents; no reset after the last denial of a later search); the others guard what must void a denial.

--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -110,17 +110,18 @@
         if member is None:
             return [effects.Log('agent_unknown', agent=str(agent))]
         status = message.status
-        before = member.status.state
+        before = member.status
         member.record_status(status, now)
+        self._searches.note_status(member, before)
         self.newest_version = max(self.newest_version, status.version)
         emitted = handler(message, member, now)
         emitted += self._offer_waiting_to(member, now)
-        if before == status.state:
+        if before.state == status.state:
             return emitted
         event = effects.Log(
             'member_changed',
             member=member.name,
-            before=before.name,
+            before=before.state.name,
             state=status.state.name,
         )
         return [event, *emitted]
@@ -141,7 +142,9 @@
     def _on_pong(
         self, pong: relaying.Pong, member: relay_members.Member, _now: float
     ) -> list[effects.Effect]:
-        return relay_introducing.check_identity(pong, member, self.routes.version)
+        return relay_introducing.check_identity(
+            pong, member, self.routes.version, self._searches.note_identity
+        )
 
     def tick(self, now: float, stalled_seconds: float = 0) -> list[effects.Effect]:
         """Run all timers that are due.
@@ -178,6 +181,7 @@
         if offer is not None and token is not None:
             offer.last_seen_at = now
             return [] if offer.is_waiting else self._advance_offer(token, offer, now)
+        self._searches.forget(packet.key)
         flow = self._flow_by_key.get(packet.key)
         if flow is not None:
             is_retransmission = packet.acknowledged > 0
@@ -297,11 +301,11 @@
         self,
         packet: packets.Packet,
         now: float,
-        denied_by: typing.Iterable[str] = (),
+        denied_by: relay_members.Member | None = None,
     ) -> list[effects.Effect]:
         """Search for the owner of a flow, unless a search or an offer is pending.
 
-        :param denied_by: names of members that have just denied that they hold it.
+        :param denied_by: member that has just denied that it holds the flow.
         """
         if packet.is_reset:
             return []
@@ -313,15 +317,13 @@
         return self._searches.on_packet(packet, now, denied_by)
 
     def _on_held(
-        self,
-        held: relaying.Held,
-        member: relay_members.Member,
-        now: float,
+        self, held: relaying.Held, member: relay_members.Member, now: float
     ) -> list[effects.Effect]:
         flow = self._flow_by_key.get(held.key)
         if flow is None:
             flow = relay_pending.Flow(member.address, now)
             self._flow_by_key[held.key] = flow
+        self._searches.forget(held.key)
         if held.sequence:
             flow.owner_by_sequence[held.sequence] = member.address
         token = self._tokens.token_of(held.key)
@@ -348,14 +350,13 @@
         return self._searches.end_with(token, member, now)
 
     def _handle_early_packets(
-        self,
-        early_packets: list[packets.Packet],
-        now: float,
+        self, early_packets: list[packets.Packet], now: float
     ) -> list[effects.Effect]:
-        emitted: list[effects.Effect] = []
-        for packet in early_packets:
-            emitted.extend(self.on_client_packet(packet, now))
-        return emitted
+        return [
+            effect
+            for packet in early_packets
+            for effect in self.on_client_packet(packet, now)
+        ]
 
     def _on_passed(
         self,
@@ -381,7 +382,7 @@
         self._flow_by_key.pop(packet.key, None)
         if packet.is_first:
             return []
-        return self._on_unknown_flow(packet, now, {member.name})
+        return self._on_unknown_flow(packet, now, member)
 
     def _end_offer(self, token: int, offer: relay_pending.Offer) -> None:
         self._waiting_offers.remove(offer)
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -137,6 +137,7 @@
 class Members:
     """All agents that an entry knows.
 
+    ``revision`` rises with each change of who is a member, or of a member's service.
     ``is_watched`` tells whether a watch reports each change of the listings,
     ``wants_listing`` whether a new listing is needed to tell that an agent is unknown,
     and ``can_vouch`` whether the entry can tell which agents the store lists now.
@@ -151,6 +152,7 @@
         self.is_watched = False
         self.wants_listing = False
         self.can_vouch = True
+        self.revision = 0
         self._listed_at = -math.inf
         self.eras = relay_eras.Eras()
         self._probed_by_service: dict[str, list[Member]] | None = None
@@ -163,7 +165,7 @@
             existing.is_listed = True
             if existing.service != member.service:
                 existing.service = member.service
-                self._probed_by_service = None
+                self._note_change()
             return None
         if existing is not None:
             self.remove(existing)
@@ -172,7 +174,7 @@
             self.remove(replaced)
         self.member_by_name[member.name] = member
         self.member_by_address[member.address] = member
-        self._probed_by_service = None
+        self._note_change()
         return member
 
     def add_listed(self, member: Member, now: float) -> Member | None:
@@ -188,13 +190,6 @@
             return None
         return self.add_or_update(member)
 
-    def has_unidentified(self, now: float) -> bool:
-        """Tell whether an unknown agent may answer at the address of a listed one."""
-        return any(
-            not member.is_identified() and not member.is_suspect(now)
-            for member in self.member_by_name.values()
-        )
-
     def mark_unlisted(self, name: str) -> Member | None:
         """Record that the store no longer holds the key of a member."""
         member = self.member_by_name.get(name)
@@ -238,10 +233,14 @@
     def remove(self, member: Member) -> None:
         """Remove a member."""
         self.member_by_name.pop(member.name, None)
-        self._probed_by_service = None
+        self._note_change()
         if self.member_by_address.get(member.address) is member:
             self.member_by_address.pop(member.address)
 
+    def _note_change(self) -> None:
+        self.revision += 1
+        self._probed_by_service = None
+
     def is_near(self, member: Member) -> bool:
         """Tell whether a member is in the entry's own failure domain."""
         return member.domain == self._domain
--- a/src/egretjunction/decisions/relay_pending.py
+++ b/src/egretjunction/decisions/relay_pending.py
@@ -1,6 +1,7 @@
 """Records of an entry: flows, offers of first packets, and searches for owners."""
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_denials
 from egretjunction.decisions import relay_routes
 from egretjunction.relay import packets
 
@@ -118,35 +119,42 @@
 class Search:
     """A search for the owner of a flow that this entry has no record of.
 
-    ``asked``, ``unsure``, ``probed`` and ``denied`` hold names of members: those that
-    were asked, those that must probe their server, those that were sent the first
-    queued packet to probe their server with, and those that do not hold the flow.
+    ``asked`` and ``unsure`` are sets of members as bit masks: those that were asked,
+    and those that must probe their server. ``probed`` holds the names of those that
+    were sent the first queued packet to probe their server with.
 
-    :param key: the flow's key.
+    :param packet: the client's packet that started the search.
+    :param record: the members that have denied the flow.
     :param services: services whose members may hold the flow.
     :param now: the time in seconds.
     """
 
     __slots__ = (
         'asked',
-        'denied',
         'due_at',
         'key',
         'probed',
         'queue',
+        'record',
         'services',
         'started_at',
         'unsure',
     )
 
-    def __init__(self, key: bytes, services: list[str], now: float) -> None:
-        self.key = key
+    def __init__(
+        self,
+        packet: packets.Packet,
+        record: relay_denials.Record,
+        services: list[str],
+        now: float,
+    ) -> None:
+        self.key = packet.key
+        self.record = record
         self.services = services
-        self.queue: list[packets.Packet] = []
-        self.asked: set[str] = set()
-        self.unsure: set[str] = set()
+        self.queue = [packet]
+        self.asked = 0
+        self.unsure = 0
         self.probed: set[str] = set()
-        self.denied: set[str] = set()
         self.started_at = now
         self.due_at = now
 
--- a/src/egretjunction/decisions/relay_searching.py
+++ b/src/egretjunction/decisions/relay_searching.py
@@ -1,7 +1,7 @@
 """An entry's searches for the agents that hold flows it has no record of."""
 
-import typing
-
+from egretjunction.decisions import relay_candidates
+from egretjunction.decisions import relay_denials
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_pending
@@ -39,23 +39,26 @@
         self._codec = codec
         self._tokens = tokens
         self._search_by_token: dict[int, relay_pending.Search] = {}
+        self._denials = relay_denials.Denials()
+        self._candidates = relay_candidates.Candidates(members, self._clear)
         self._question_queue = relay_questions.QuestionQueue(link_mbps)
 
     def on_packet(
         self,
         packet: packets.Packet,
         now: float,
-        denied_by: typing.Iterable[str],
+        denied_by: relay_members.Member | None = None,
     ) -> list[effects.Effect]:
         """Search for the owner of a packet's flow, which gets the packet.
 
         :param packet: a client's packet of a flow that the entry has no record of.
         :param now: the time in seconds.
-        :param denied_by: names of members that have just denied that they hold it.
+        :param denied_by: member that has just denied that it holds the flow.
         """
         search = self._search_by_token.get(self._tokens.token_of(packet.key) or 0)
         if search is not None:
-            search.denied.update(denied_by)
+            if denied_by is not None:
+                search.record.denied |= self._candidates.bit_of(denied_by)
             if len(search.queue) < relay_pending.MAX_QUEUED_PACKETS:
                 search.queue.append(packet)
             return []
@@ -65,21 +68,42 @@
             return [effects.reset_of(packet, 'no_route')]
         if self._tokens.count >= relay_pending.MAX_PENDING:
             return []
-        search = relay_pending.Search(packet.key, services, now)
-        search.queue.append(packet)
-        search.denied.update(denied_by)
+        record = self._denials.record_of(packet, now)
+        if denied_by is not None:
+            record.denied |= self._candidates.bit_of(denied_by)
+        search = relay_pending.Search(packet, record, services, now)
         token = self._tokens.issue(packet.key)
         self._search_by_token[token] = search
         return self._advance(token, search, now)
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Continue the searches that are due, and send the questions that may go."""
+        self._candidates.update_dead(now)
+        self._denials.remove_expired(now)
         emitted: list[effects.Effect] = []
         for token, search in list(self._search_by_token.items()):
             if now >= search.due_at:
                 emitted += self._advance(token, search, now)
         return emitted + self._send_due_questions(now)
 
+    def note_status(
+        self, member: relay_members.Member, before: relaying.Status
+    ) -> None:
+        """Note that a member has sent a status.
+
+        :param member: the member, with the new status.
+        :param before: its status before.
+        """
+        self._candidates.note_status(member, before)
+
+    def note_identity(self, member: relay_members.Member) -> None:
+        """Note that another agent answers at a member's address than before."""
+        self._candidates.renew(member)
+
+    def forget(self, key: bytes) -> None:
+        """Drop what is known about a flow's owner, since the flow is opened anew."""
+        self._denials.forget(key)
+
     def end_with(
         self, token: int, member: relay_members.Member, now: float
     ) -> list[effects.Effect]:
@@ -110,10 +134,11 @@
     ) -> list[effects.Effect]:
         """Record which flows a member does not hold."""
         emitted: list[effects.Effect] = []
+        bit = self._candidates.bit_of(member)
         for token in denial.tokens:
             search = self._search_by_token.get(token)
             if search is not None:
-                search.denied.add(member.name)
+                search.record.denied |= bit
                 emitted += self._continue(token, search, now)
         return emitted
 
@@ -127,7 +152,7 @@
         for token in unsure.tokens:
             search = self._search_by_token.get(token)
             if search is not None:
-                search.unsure.add(member.name)
+                search.unsure |= self._candidates.bit_of(member)
                 self._add_question(token, search, member)
         return self._send_due_questions(now)
 
@@ -138,7 +163,7 @@
         now: float,
     ) -> list[effects.Effect]:
         """Continue a search at once if all members asked so far have denied it."""
-        if search.asked <= search.denied:
+        if not search.asked & ~search.record.denied:
             return self._advance(token, search, now)
         return []
 
@@ -158,27 +183,27 @@
         if now - search.started_at > MAX_SEARCH_SECONDS:
             self._end(token, search)
             return [effects.Log('search_failed', flow=search.key.hex())]
-        members = self._members.serving(search.services)
-        reachable = [member for member in members if not member.is_dead(now)]
-        candidates = [
-            member for member in reachable if member.name not in search.denied
-        ]
-        if not candidates and (
-            self._members.has_unidentified(now) or not self._members.is_complete(now)
-        ):
+        candidates = self._candidates.serving(search.services) & ~search.record.denied
+        if not candidates and not self._is_view_complete(now):
             search.due_at = now + LISTING_SECONDS
             return []
         if not candidates:
             self._end(token, search)
             return [effects.reset_of(search.queue[-1], 'nobody_holds_it')]
         search.due_at = now + SEARCH_ROUND_SECONDS
-        unasked = [member for member in candidates if member.name not in search.asked]
-        near = [member for member in unasked if self._members.is_near(member)]
-        for member in (near or unasked or candidates)[:MAX_MEMBERS_PER_ROUND]:
-            search.asked.add(member.name)
+        unasked = candidates & ~search.asked
+        chosen = unasked & self._candidates.near() or unasked or candidates
+        for member in self._candidates.members_in(chosen, MAX_MEMBERS_PER_ROUND):
+            search.asked |= self._candidates.bit_of(member)
             self._add_question(token, search, member)
         return self._send_due_questions(now)
 
+    def _is_view_complete(self, now: float) -> bool:
+        """Tell whether the entry knows every agent that may hold a flow."""
+        return not self._candidates.has_unidentified(now) and self._members.is_complete(
+            now
+        )
+
     def _add_question(
         self,
         token: int,
@@ -187,7 +212,9 @@
     ) -> None:
         """Queue a question to a member, or a packet to probe its server with."""
         packet = search.queue[0]
-        if member.status.knows_all_flows and member.name not in search.unsure:
+        if member.status.knows_all_flows and not (
+            search.unsure & self._candidates.bit_of(member)
+        ):
             question = relaying.Question(token, search.key, packet.acknowledged)
             self._question_queue.add(member.address, question)
         else:
@@ -210,3 +237,11 @@
     def _end(self, token: int, search: relay_pending.Search) -> None:
         self._search_by_token.pop(token, None)
         self._tokens.release(search.key)
+
+    def _clear(self, mask: int) -> None:
+        """Remove members from all sets, since their bits are used again."""
+        self._denials.clear(mask)
+        for search in self._search_by_token.values():
+            search.record.denied &= ~mask
+            search.asked &= ~mask
+            search.unsure &= ~mask
--- /dev/null
+++ b/tests/decisions/test_relay_searching.py
@@ -0,0 +1,166 @@
+"""An entry's searches for owners of flows: denials, repeats, and what they log."""
+
+from egretjunction.decisions import relay_denials
+from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_members
+from egretjunction.wire import relaying
+from tests import relay_builders as build
+
+TICK_SECONDS = 0.025
+
+
+def _receive(entry, name, message, now):
+    return entry.on_message(message, build.member_address(name), now)
+
+
+def _asked(emitted):
+    return {effect.address for effect in build.owner_questions(emitted)}
+
+
+def _addresses(*names):
+    return {build.member_address(name) for name in names}
+
+
+def _tokens(emitted):
+    tokens = set()
+    for effect in build.owner_questions(emitted):
+        message = effect.message
+        if isinstance(message, relaying.Ask):
+            tokens.add(message.token)
+        else:
+            tokens.update(question.token for question in message.questions)
+    return tokens
+
+
+def _deny(entry, name, emitted, now, **fields):
+    """Let a member deny all flows that it was asked about."""
+    denial = relaying.NotHeld(sorted(_tokens(emitted)), build.status(**fields))
+    return _receive(entry, name, denial, now)
+
+
+def _run(entry, start, end):
+    """Run the timers of an entry; return what is emitted."""
+    emitted = []
+    steps = round((end - start) / TICK_SECONDS)
+    for step in range(1, steps + 1):
+        emitted += entry.tick(start + step * TICK_SECONDS)
+    return emitted
+
+
+def _abandoned_search(*names):
+    """Return an entry that gave up a search that only the first member denied.
+
+    The others answer pings, so that none of them counts as dead.
+    """
+    entry = build.entry(*names)
+    emitted = entry.on_client_packet(build.request(), 0)
+    _deny(entry, names[0], emitted, 0.01)
+    now = 0.0
+    while entry.pending_count:
+        now += TICK_SECONDS
+        for name in names[1:]:
+            pong = relaying.Pong(build.SERVICE_TAG, build.status())
+            _receive(entry, name, pong, now)
+        entry.tick(now)
+    return entry, now
+
+
+def test_new_search_asks_only_members_that_have_not_denied_the_flow():
+    """Guards against asking all agents again after each abandoned search.
+
+    One agent that does not answer made each of a client's packets cost a question to
+    every agent, which delayed the answers for all other flows.
+    """
+    entry, now = _abandoned_search('m-1', 'm-2', 'm-3')
+    emitted = entry.on_client_packet(build.request(), now)
+    assert _asked(emitted) == _addresses('m-2', 'm-3')
+
+
+def test_flow_is_reset_once_the_last_member_denies_it_in_a_later_search():
+    entry, now = _abandoned_search('m-1', 'm-2')
+    emitted = entry.on_client_packet(build.request(), now)
+    (reset,) = build.of_type(_deny(entry, 'm-2', emitted, now + 0.01), effects.Reset)
+    assert reset.reason == 'nobody_holds_it'
+
+
+def test_member_whose_server_was_restarted_is_asked_again():
+    """Guards against a denial that outlives the server that it was about."""
+    entry, now = _abandoned_search('m-1', 'm-2')
+    restarted = relaying.Pong(build.SERVICE_TAG, build.status(cold_ms=2000))
+    _receive(entry, 'm-1', restarted, now)
+    emitted = entry.on_client_packet(build.request(), now + 0.01)
+    assert _asked(emitted) == _addresses('m-1', 'm-2')
+
+
+def test_member_that_was_restarted_is_asked_again():
+    entry, now = _abandoned_search('m-1', 'm-2')
+    for state in ('STARTING', 'READY'):
+        status = build.status(relaying.State[state])
+        _receive(entry, 'm-1', relaying.Pong(build.SERVICE_TAG, status), now)
+    emitted = entry.on_client_packet(build.request(), now + 0.01)
+    assert _asked(emitted) == _addresses('m-1', 'm-2')
+
+
+def test_member_whose_record_was_replaced_is_asked_again():
+    entry, now = _abandoned_search('m-1', 'm-2')
+    entry.members.remove(entry.members.member_by_name['m-1'])
+    entry.members.add_or_update(
+        relay_members.Member('m-1', build.SERVICE, 'a', build.member_address('m-1'))
+    )
+    emitted = entry.on_client_packet(build.request(), now + 0.01)
+    assert _asked(emitted) == _addresses('m-1', 'm-2')
+
+
+def test_denial_of_a_flow_that_was_opened_anew_here_is_dropped():
+    """Guards against a reset of a flow that uses the key of an earlier one."""
+    entry, now = _abandoned_search('m-1', 'm-2')
+    ((offer, owner),) = build.sent_messages(
+        entry.on_client_packet(build.first_packet(), now), relaying.Offer
+    )
+    held = relaying.Held(offer.token, build.KEY, 500, build.status())
+    entry.on_message(held, owner, now)
+    returned = relaying.Returned(build.request().raw, build.status())
+    emitted = entry.on_message(returned, owner, now + 0.01)
+    assert not build.of_type(emitted, effects.Reset)
+    assert _asked(emitted) == _addresses('m-1', 'm-2') - {owner}
+
+
+def test_denial_of_a_flow_that_was_opened_anew_elsewhere_is_dropped():
+    """Guards against a reset of a flow whose key was reused at another entry."""
+    entry, now = _abandoned_search('m-1', 'm-2')
+    reopened = build.request(sequence=70_000_000, acknowledged=90_000_000)
+    emitted = entry.on_client_packet(reopened, now)
+    assert _asked(emitted) == _addresses('m-1', 'm-2')
+
+
+def test_denials_are_dropped_when_the_flow_is_not_used():
+    entry, now = _abandoned_search('m-1', 'm-2')
+    later = now + relay_denials.RETENTION_SECONDS + 1
+    for name in ('m-1', 'm-2'):
+        _receive(entry, name, relaying.Pong(build.SERVICE_TAG, build.status()), later)
+    emitted = entry.on_client_packet(build.request(), later)
+    assert _asked(emitted) == _addresses('m-1', 'm-2')
+
+
+def test_records_of_denials_are_bounded():
+    denials = relay_denials.Denials()
+    for number in range(relay_denials.MAX_RECORDS + 10):
+        denials.record_of(build.request(build.flow_key(number)), 0)
+    assert len(denials) == relay_denials.MAX_RECORDS
+
+
+def test_denial_by_a_replaced_member_does_not_count_for_a_later_one():
+    """Guards against a mask whose bit is given to another agent."""
+    entry, now = _abandoned_search('m-0', 'm-1')
+    for number in range(2, 200):
+        replaced = entry.members.member_by_name[f'm-{number - 2}']
+        entry.members.remove(replaced)
+        name = f'm-{number}'
+        member = relay_members.Member(
+            name, build.SERVICE, 'a', build.member_address(name)
+        )
+        entry.members.add_or_update(member)
+        member.record_status(build.status(), now)
+        entry.on_client_packet(build.request(), now)
+        assert entry.pending_count, name
+    assert not build.of_type(_run(entry, now, now + 0.2), effects.Reset)
