--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -9,6 +9,7 @@
 from egretjunction.decisions import relay_eras
 from egretjunction.decisions import relay_pinging
 from egretjunction.decisions import relay_work
+from egretjunction.decisions.load import index
 from egretjunction.wire import relaying
 
 SUSPECT_AFTER_SECONDS = 0.25  # answers within a failure domain take a few milliseconds
@@ -140,6 +141,7 @@
     ``is_watched`` tells whether a watch reports each change of the listings,
     ``wants_listing`` whether a new listing is needed to tell that an agent is unknown,
     and ``can_vouch`` whether the entry can tell which agents the store lists now.
+    ``index`` holds the members by service, failure domain and free capacity.
 
     :param domain: failure domain of the entry.
     """
@@ -155,6 +157,7 @@
         self.eras = relay_eras.Eras()
         self._probed_by_service: dict[str, list[Member]] | None = None
         self._probed_names: set[str] = set()
+        self.index = index.MemberIndex()
 
     def add_or_update(self, member: Member) -> Member | None:
         """Add or update a listed member; return it if it is new or has moved."""
@@ -163,6 +166,7 @@
             existing.is_listed = True
             if existing.service != member.service:
                 existing.service = member.service
+                self.index.add(existing)
                 self._probed_by_service = None
             return None
         if existing is not None:
@@ -172,6 +176,7 @@
             self.remove(replaced)
         self.member_by_name[member.name] = member
         self.member_by_address[member.address] = member
+        self.index.add(member)
         self._probed_by_service = None
         return member
 
@@ -238,6 +243,7 @@
     def remove(self, member: Member) -> None:
         """Remove a member."""
         self.member_by_name.pop(member.name, None)
+        self.index.remove(member)
         self._probed_by_service = None
         if self.member_by_address.get(member.address) is member:
             self.member_by_address.pop(member.address)
--- /dev/null
+++ b/tests/decisions/load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions by expected load."""
