Placement by earliest expected finish, behind a setting

Cause: with `least-loaded`, a server of half the speed gets as many requests as others, and the own failure domain is left as soon as it is full, however short its queue.

Ruled out: the best of all members, since 22 entries with the same view would choose the same one; queueing in the own domain without a margin, since flows would alternate between domains at the limit.

Change: with `placement = earliest-finish`, entries draw four candidates per failure domain and take the better of two among those of near-equal finish. The own domain is used while it answers within the target. Full members with old statuses and members that accept final offers come next, then waiting. Without any estimate, active requests are counted as before. `flow_placed` and `flow_waiting` carry finish, wait and age.

--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -9,6 +9,7 @@
 from egretjunction.decisions import relay_questions
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_waiting
+from egretjunction.decisions.load import placing
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
@@ -34,6 +35,8 @@
     :param codec: reads packets and derives the route's address from a flow's key.
     :param link_mbps: capacity of the entry's link in megabits per second.
     :param max_flow_seconds: age from which a flow may be dropped.
+    :param placer: places first packets by expected finish; None for the least loaded
+        member.
     """
 
     def __init__(
@@ -43,7 +46,9 @@
         codec: packets.Codec,
         link_mbps: float,
         max_flow_seconds: float,
+        placer: placing.Placer | None = None,
     ) -> None:
+        self._placer = placer
         self._max_flow_seconds = max_flow_seconds
         self.members = members
         self.routes = routes
@@ -117,7 +122,10 @@
             return [effects.Log('agent_unknown', agent=str(agent))]
         status = message.status
         before = member.status.state
-        member.record_status(status, now)
+        if self._placer is None:
+            member.record_status(status, now)
+        else:
+            self._placer.record_message(member, message, now)
         self.newest_version = max(self.newest_version, status.version)
         emitted = handler(message, member, now)
         emitted += self._offer_waiting_to(member, now)
@@ -226,11 +234,14 @@
         if relay_waiting.is_expired(offer, now):
             self._end_offer(token, offer)
             return [_reset_flow(offer.packet, 'nobody_took_it')]
-        member = self._next_member(offer, now)
-        if member is None and not offer.is_final:
-            offer.is_final = True
-            offer.tried.clear()
+        if self._placer is not None:
+            member = self._placer.place(offer, now)
+        else:
             member = self._next_member(offer, now)
+            if member is None and not offer.is_final:
+                offer.is_final = True
+                offer.tried.clear()
+                member = self._next_member(offer, now)
         if member is not None:
             return [self._send_offer(token, offer, member, now)]
         event = effects.Log(
@@ -239,6 +250,7 @@
             route=offer.route,
             version=self.routes.version,
             members=self.members.count_ready(offer.service, now),
+            **offer.estimate_fields,
         )
         offer.tried.clear()
         offer.due_at = relay_waiting.expires_at(offer)
@@ -281,6 +293,8 @@
         member.used_at = now
         member.record_request(now)
         member.offered_flows += 1
+        if self._placer is not None:
+            self._placer.record_offer(token, member, now)
         message = relaying.Offer(
             token,
             relaying.compute_service_tag(offer.service),
@@ -459,6 +473,7 @@
                 tried=len(offer.tried),
                 final=offer.is_final,
                 ms=effects.milliseconds(now - offer.started_at),
+                **offer.estimate_fields,
             )
             return [placed_event, *self._handle_early_packets(offer.early_packets, now)]
         search = self._search_by_token[token]
@@ -608,6 +623,8 @@
         for member in self.members.expired(now):
             if not member.is_listed:
                 self.members.remove(member)
+                if self._placer is not None:
+                    self._placer.forget(member)
 
 
 def _reset_flow(packet: packets.Packet, reason: str) -> effects.Reset:
--- a/src/egretjunction/decisions/relay_pending.py
+++ b/src/egretjunction/decisions/relay_pending.py
@@ -2,6 +2,7 @@
 
 from egretjunction import addresses
 from egretjunction.decisions import relay_routes
+from egretjunction.decisions.load import finish
 from egretjunction.relay import packets
 
 
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        '_estimate',
         'due_at',
         'early_packets',
         'is_final',
@@ -76,6 +78,7 @@
         self.tried: set[str] = set()
         self.early_packets: list[packets.Packet] = []
         self.is_final = False
+        self._estimate: finish.Estimate | None = None
         self.is_waiting = False
         self.started_at = opening.started_at(packet, now)
         self.last_seen_at = now
@@ -86,6 +89,20 @@
         """Return the key of the flow."""
         return self.packet.key
 
+    def record_estimate(self, estimate: finish.Estimate) -> None:
+        """Record the expected finish that led to the last choice of a member."""
+        self._estimate = estimate
+
+    @property
+    def estimate_fields(self) -> dict[str, float]:
+        """Return that estimate in milliseconds for the log, if there is one."""
+        if self._estimate is None:
+            return {}
+        return {
+            name: round(seconds * finish.MILLISECONDS_PER_SECOND, 1)
+            for name, seconds in self._estimate._asdict().items()
+        }
+
 
 class Search:
     """A search for the owner of a flow that this entry has no record of.
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -1,6 +1,7 @@
 """The relay entry: forwards clients' packets to the agents that own their flows."""
 
 import collections
+import random
 import time
 import typing
 
@@ -13,6 +14,7 @@
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
+from egretjunction.decisions.load import placing
 from egretjunction.relay import _configuration
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
@@ -66,6 +68,7 @@
             platform.codec,
             entry_settings.link_mbps,
             entry_settings.max_flow_seconds,
+            _placer_of(entry_settings, self._members),
         )
         self._members_listed_at: float | None = None
         self._has_been_ready = False
@@ -337,6 +340,14 @@
             self._log('member_listed', member=member.name, service=member.service)
 
 
+def _placer_of(
+    entry_settings: settings.RelayEntry, members: relay_members.Members
+) -> placing.Placer | None:
+    if entry_settings.placement == settings.EARLIEST_FINISH:
+        return placing.Placer(members, entry_settings.domain, random.Random())
+    return None
+
+
 def start(
     entry_settings: settings.RelayEntry,
     platform: adapter.Adapter,
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -1,5 +1,7 @@
 """Builders for tests of relayed flows, with a packet format for these tests."""
 
+import random
+
 import msgspec
 
 from egretjunction import addresses
@@ -11,6 +13,7 @@
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_server
+from egretjunction.decisions.load import placing
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
@@ -169,15 +172,21 @@
     )
 
 
-def entry(*names, domain='a', routes=None, link_mbps=1000):
-    """Return the flows of an entry with ready members in its own domain."""
+def entry(*names, domain='a', routes=None, link_mbps=1000, placement_seed=None):
+    """Return the flows of an entry with ready members in its own domain.
+
+    :param placement_seed: seed of placement by earliest finish; None for least loaded.
+    """
     members = relay_members.Members(domain)
     members.is_watched = True
     active_routes = relay_routes.Routes()
     route = relay_routes.Route('r', ROUTE, {SERVICE: 1})
     active_routes.adopt(routes or relay_routes.RouteTable(1, [route]))
+    placer = None
+    if placement_seed is not None:
+        placer = placing.Placer(members, domain, random.Random(placement_seed))
     flows = relay_entry.EntryFlows(
-        members, active_routes, Codec(), link_mbps, MAX_FLOW_SECONDS
+        members, active_routes, Codec(), link_mbps, MAX_FLOW_SECONDS, placer
     )
     for name in names:
         member = relay_members.Member(name, SERVICE, domain, member_address(name))
