Entries use outliers, shares and early rejections with earliest-finish

Ruled out: newcomers that take a free slot although others wait, since they would pass more urgent ones.

Change: outliers get a tenth of their first packets as probes; slow ones also take what they answer within the target while all others are full. A newcomer waits behind those that wait, and the one that goes first is offered. Hopeless ones are reset at once with the reason rejected_backlog or rejected_deadline, which the counters flow_reset_REASON_total tell apart; the reset carries finish, wait and age. The event member_outlier is new. With least-loaded nothing changes but the counters by reason.

Tests: tests/decisions/load/test_placing.py.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -53,7 +53,7 @@
 def measure(count: int, *, is_full: bool) -> tuple[float, float]:
     """Return microseconds per choice: least loaded, and earliest finish."""
     members = build_members(count, is_full=is_full)
-    placer = placing.Placer(members, 'a', random.Random(1))
+    placer = placing.Placer(members, 'a', random.Random(1), OPENING)
     route = relay_routes.Route(
         'r', ROUTE, {SERVICE: 1}, target_seconds=0.3, timeout_seconds=1.5
     )
--- a/src/egretjunction/decisions/load/placing.py
+++ b/src/egretjunction/decisions/load/placing.py
@@ -2,10 +2,15 @@
 
 import typing
 
+from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_pending
 from egretjunction.decisions.load import finish
 from egretjunction.decisions.load import index
+from egretjunction.decisions.load import outliers
+from egretjunction.decisions.load import rejecting
+from egretjunction.decisions.load import waiting
+from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
 CANDIDATES_PER_DOMAIN = 4
@@ -31,21 +36,13 @@
     estimate: finish.Estimate
 
 
-class _Record:
-    """Own offers to a member that no answer or status reflects yet."""
-
-    __slots__ = ('sent_at_by_token',)
-
-    def __init__(self) -> None:
-        self.sent_at_by_token: dict[int, float] = {}
-
-
 class Placer:
     """Places the first packets of one entry.
 
     :param members: the agents that the entry knows.
     :param domain: failure domain of the entry.
     :param randomness: source of randomness.
+    :param opening: how clients open a flow.
     """
 
     def __init__(
@@ -53,12 +50,22 @@
         members: relay_members.Members,
         domain: str,
         randomness: index.Random,
+        opening: packets.Opening,
     ) -> None:
         self._members = members
         self._domain = domain
         self._random = randomness
         self.paths = finish.PathTimes(domain)
-        self._record_by_member: dict[relay_members.Member, _Record] = {}
+        self._sent_at_by_token_by_member: dict[
+            relay_members.Member, dict[int, float]
+        ] = {}
+        self._member_by_token: dict[int, relay_members.Member] = {}
+        self.outliers = outliers.Outliers()
+        self._events: list[effects.Log] = []
+        self.queue = waiting.OfferQueue(
+            lambda service, now: self.typical(service, now).duration,
+            opening.last_copy_seconds,
+        )
         self._typical_by_service: dict[str, tuple[float, finish.ServiceTypical]] = {}
         self._overflowing_services: set[str] = set()
 
@@ -87,9 +94,8 @@
         if member.unanswered_since == member.pinged_at:
             self.paths.record(member.domain, now - member.pinged_at)
         member.record_status(message.status, now)
-        record = self._record_by_member.get(member)
-        if record is not None:
-            sent_at_by_token = record.sent_at_by_token
+        sent_at_by_token = self._sent_at_by_token_by_member.get(member)
+        if sent_at_by_token:
             sent_at_by_token.pop(getattr(message, 'token', 0), None)
             reflected_until = now - self.paths.answer_seconds(member.domain)
             for token, sent_at in list(sent_at_by_token.items()):
@@ -97,21 +103,67 @@
                     sent_at_by_token.pop(token)
             member.offered_flows = len(sent_at_by_token)
         self._members.index.refresh(member)
+        self._update_verdict(member, now)
 
     def record_offer(
-        self, token: int, member: relay_members.Member, now: float
+        self,
+        token: int,
+        offer: relay_pending.Offer,
+        member: relay_members.Member,
+        now: float,
     ) -> None:
         """Record that a first packet was offered to a member."""
-        record = self._record_by_member.get(member)
-        if record is None:
-            record = _Record()
-            self._record_by_member[member] = record
-        record.sent_at_by_token[token] = now
+        sent_at_by_token = self._sent_at_by_token_by_member.setdefault(member, {})
+        sent_at_by_token[token] = now
+        self._member_by_token[token] = member
         self._members.index.refresh(member)
+        self.queue.record_offered(offer, now)
+
+    def record_accepted(
+        self, offer: relay_pending.Offer, member: relay_members.Member, now: float
+    ) -> None:
+        """Record that a member accepted a first packet."""
+        self.outliers.record_outcome(member.name, now, is_failed=False)
+        self.queue.record_accepted(offer.service, now)
+
+    def record_passed(
+        self,
+        passed: relaying.Passed,
+        member: relay_members.Member,
+        now: float,
+    ) -> None:
+        """Record that a member declined a first packet."""
+        self._member_by_token.pop(passed.token, None)
+        is_failed = passed.reason is relaying.Reason.REFUSED
+        self.outliers.record_outcome(member.name, now, is_failed=is_failed)
+
+    def record_unanswered(self, token: int, now: float) -> None:
+        """Record that an offer was not answered in time."""
+        member = self._member_by_token.pop(token, None)
+        if member is not None:
+            self.outliers.record_outcome(member.name, now, is_failed=True)
+            self._update_verdict(member, now)
+
+    def forget_offer(self, token: int) -> None:
+        """Drop the record of an offer that has ended."""
+        self._member_by_token.pop(token, None)
 
     def forget(self, member: relay_members.Member) -> None:
         """Drop the records of a removed member."""
-        self._record_by_member.pop(member, None)
+        self._sent_at_by_token_by_member.pop(member, None)
+        self.outliers.forget(member.name)
+
+    def record_pause(self, seconds: float, now: float) -> None:
+        """Take into account that this process was paused."""
+        self.outliers.record_pause(seconds, now)
+        if seconds > outliers.PAUSE_SECONDS:
+            self.queue.record_pause()
+
+    def pop_events(self) -> list[effects.Log]:
+        """Return the events since the last call."""
+        events = self._events
+        self._events = []
+        return events
 
     def estimate(
         self,
@@ -128,7 +180,7 @@
             self.paths.one_way(member.domain),
             wait,
             duration,
-            member.status.failure_percent / finish.PERCENT,
+            self.outliers.failure_share(member, now),
             offer.target_seconds,
         )
         return finish.Estimate(expected if duration else 0, wait, age)
@@ -142,11 +194,30 @@
         """
         choice = self.choose(offer, now)
         if choice is None:
+            offer.is_final = True
             return None
         offer.is_final = choice.is_final
         offer.record_estimate(choice.estimate)
         return choice.member
 
+    def place_unless_others_wait(
+        self, offer: relay_pending.Offer, now: float
+    ) -> relay_members.Member | None:
+        """Place a first packet, unless others of its service wait for a slot.
+
+        A newcomer would take the slot before those that go first.
+        """
+        if self.queue.has_waiting(offer.service) and not offer.is_waiting:
+            offer.is_final = True
+            return None
+        return self.place(offer, now)
+
+    def misses_deadline(self, offer: relay_pending.Offer, now: float) -> bool:
+        """Tell whether no server could answer a first packet by its deadline."""
+        duration = self.typical(offer.service, now).duration
+        elapsed = now - offer.started_at
+        return rejecting.misses_deadline(elapsed, duration, offer.request_seconds)
+
     def choose(self, offer: relay_pending.Offer, now: float) -> Choice | None:
         """Return the member to offer a first packet to, or None if it must wait.
 
@@ -156,6 +227,9 @@
         """
         service = offer.service
         typical = self.typical(service, now)
+        probe = self._probe(offer, now)
+        if probe is not None:
+            return probe
         if not typical.duration:
             return self._choose_by_load(offer, now)
         own = self._best_in(self._domain, offer, now)
@@ -170,11 +244,91 @@
             for domain in self._members.index.domains(service)
             if domain != self._domain
         ]
-        return min(
+        earliest = min(
             (choice for choice in (own, *choices) if choice is not None),
             key=lambda choice: choice.estimate.finish,
             default=None,
         )
+        return earliest or self._slow_choice(offer, now)
+
+    def suits(
+        self, member: relay_members.Member, offer: relay_pending.Offer, now: float
+    ) -> bool:
+        """Tell whether a member with capacity may take a waiting first packet.
+
+        A slow member may, as long as the answer is expected within the target. The
+        estimate is recorded with the offer.
+        """
+        estimate = self.estimate(member, offer, now)
+        offer.record_estimate(estimate)
+        if not self.outliers.is_outlier(member):
+            return True
+        if self._random.random() < outliers.PROBE_SHARE:
+            return True
+        elapsed = now - offer.started_at
+        is_in_time = elapsed + estimate.finish <= offer.target_seconds
+        return is_in_time and not self.outliers.is_failing(member, now)
+
+    def _probe(self, offer: relay_pending.Offer, now: float) -> Choice | None:
+        """Return an outlier that shall show with a request whether it has recovered."""
+        names = self.outliers.of_service(offer.service)
+        if not names:
+            return None
+        share = outliers.PROBE_SHARE * len(names)
+        if self._random.random() * self._members.index.count(offer.service) >= share:
+            return None
+        choices = self._outlier_choices(offer, now, size=1)
+        for choice in choices:
+            elapsed = now - offer.started_at
+            if elapsed + choice.estimate.finish <= offer.request_seconds:
+                return choice
+        return None
+
+    def _slow_choice(self, offer: relay_pending.Offer, now: float) -> Choice | None:
+        """Return a slow member that answers within the target."""
+        elapsed = now - offer.started_at
+        choices = [
+            choice
+            for choice in self._outlier_choices(offer, now, size=SECOND_SAMPLE)
+            if elapsed + choice.estimate.finish <= offer.target_seconds
+            and not self.outliers.is_failing(choice.member, now)
+        ]
+        return min(choices, key=lambda choice: choice.estimate.finish, default=None)
+
+    def _outlier_choices(
+        self, offer: relay_pending.Offer, now: float, *, size: int
+    ) -> list[Choice]:
+        """Return outliers with a free slot."""
+        names = self.outliers.of_service(offer.service)
+        start = int(self._random.random() * len(names))
+        drawn = [
+            self._members.member_by_name[name]
+            for name in (*names[start:], *names[:start])[:size]
+            if name in self._members.member_by_name
+        ]
+        return [
+            Choice(member, is_final=False, estimate=self.estimate(member, offer, now))
+            for member in drawn
+            if index.level_of(member) is index.Level.FREE
+            and member.name not in offer.tried
+            and member.accepts_flows(now)
+        ]
+
+    def _update_verdict(self, member: relay_members.Member, now: float) -> None:
+        service = member.service
+        if not self.outliers.update(
+            member, self.typical(service, now), self._members.index.count(service), now
+        ):
+            return
+        self._events.append(
+            effects.Log(
+                'member_outlier',
+                member=member.name,
+                outlier=self.outliers.is_outlier(member),
+                request_ms=member.status.request_ms,
+                failed=round(self.outliers.failure_share(member, now), 2),
+            )
+        )
 
     def _best_in(
         self, domain: str, offer: relay_pending.Offer, now: float
@@ -223,7 +377,7 @@
         service = offer.service
         for size in (CANDIDATES_PER_DOMAIN, SECOND_SAMPLE):
             drawn = self._sample(service, domain, index.Level.FREE, size)
-            usable = _usable(drawn, offer, now)
+            usable = self._usable(drawn, offer, now)
             if usable or len(drawn) < size:
                 break
         if usable:
@@ -232,7 +386,7 @@
         return [
             member
             for level in (index.Level.QUEUE, index.Level.CLOSED)
-            for member in _usable(
+            for member in self._usable(
                 self._sample(service, domain, level, CANDIDATES_PER_DOMAIN), offer, now
             )
             if _may_be_free(member, full_since, now)
@@ -243,7 +397,21 @@
     ) -> list[relay_members.Member]:
         """Return members without a free slot that accept a final offer."""
         drawn = self._sample(offer.service, domain, index.Level.QUEUE, SECOND_SAMPLE)
-        return _usable(drawn, offer, now)[:CANDIDATES_PER_DOMAIN]
+        return self._usable(drawn, offer, now)[:CANDIDATES_PER_DOMAIN]
+
+    def _usable(
+        self,
+        drawn: list[relay_members.Member],
+        offer: relay_pending.Offer,
+        now: float,
+    ) -> list[relay_members.Member]:
+        return [
+            member
+            for member in drawn
+            if member.name not in offer.tried
+            and member.accepts_flows(now)
+            and not self.outliers.is_outlier(member)
+        ]
 
     def _sample(
         self, service: str, domain: str, level: index.Level, size: int
@@ -251,16 +419,6 @@
         return self._members.index.sample(service, domain, level, size, self._random)
 
 
-def _usable(
-    drawn: list[relay_members.Member], offer: relay_pending.Offer, now: float
-) -> list[relay_members.Member]:
-    return [
-        member
-        for member in drawn
-        if member.name not in offer.tried and member.accepts_flows(now)
-    ]
-
-
 def _may_be_free(member: relay_members.Member, full_since: float, now: float) -> bool:
     """Tell whether a member whose status shows it as full may have a free slot now."""
     expected_wait = member.status.wait_ms / finish.MILLISECONDS_PER_SECOND
--- a/src/egretjunction/decisions/relay_effects.py
+++ b/src/egretjunction/decisions/relay_effects.py
@@ -47,11 +47,15 @@
     :param sequence: a sequence number close to the last one that the client
         acknowledged.
     :param reason: the reason that is logged.
+    :param fields: further fields of the log line.
     """
 
-    __slots__ = ('key', 'reason', 'sequence')
+    __slots__ = ('fields', 'key', 'reason', 'sequence')
 
-    def __init__(self, key: bytes, sequence: int, reason: str) -> None:
+    def __init__(
+        self, key: bytes, sequence: int, reason: str, **fields: object
+    ) -> None:
+        self.fields = fields
         self.key = key
         self.sequence = sequence
         self.reason = reason
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -10,6 +10,7 @@
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_waiting
 from egretjunction.decisions.load import placing
+from egretjunction.decisions.load import rejecting
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
@@ -56,7 +57,7 @@
         self._codec = codec
         self._flow_by_key: dict[bytes, relay_pending.Flow] = {}
         self._offer_by_token: dict[int, relay_pending.Offer] = {}
-        self._waiting_offers = relay_waiting.WaitingOffers()
+        self._waiting_offers = placer.queue if placer else relay_waiting.WaitingOffers()
         self._search_by_token: dict[int, relay_pending.Search] = {}
         self._question_queue = relay_questions.QuestionQueue(link_mbps)
         self._token_by_key: dict[bytes, int] = {}
@@ -171,6 +172,10 @@
         """
         self.members.discount_pause(stalled_seconds)
         emitted: list[effects.Effect] = []
+        if self._placer is not None:
+            self._placer.record_pause(stalled_seconds, now)
+            emitted += self._placer.pop_events()
+            emitted += self._serve_waiting(self._placer, now)
         for member in self.members.due_for_ping(now):
             member.pinged_at = now
             member.record_request(now)
@@ -183,6 +188,8 @@
             emitted.extend(self._offer_waiting_to_all(now))
         for token, offer in list(self._offer_by_token.items()):
             if now >= offer.due_at:
+                if self._placer is not None:
+                    self._placer.record_unanswered(token, now)
                 emitted += self._advance_offer(token, offer, now)
         for token, search in list(self._search_by_token.items()):
             if now >= search.due_at:
@@ -200,6 +207,8 @@
         offer = self._offer_by_token.get(token or 0)
         if offer is not None and token is not None:
             offer.last_seen_at = now
+            if self._placer is not None:
+                self._placer.queue.touch(offer)
             return [] if offer.is_waiting else self._advance_offer(token, offer, now)
         flow = self._flow_by_key.get(packet.key)
         if flow is not None:
@@ -219,6 +228,8 @@
         offer = relay_pending.Offer(packet, service, route, opening, now)
         token = self._next_token(packet.key)
         self._offer_by_token[token] = offer
+        if self._placer is not None:
+            self._placer.queue.record_arrival(offer, now)
         return self._advance_offer(token, offer, now)
 
     def _advance_offer(
@@ -233,9 +244,14 @@
             return self._handle_early_packets(offer.early_packets, now)
         if relay_waiting.is_expired(offer, now):
             self._end_offer(token, offer)
-            return [_reset_flow(offer.packet, 'nobody_took_it')]
+            return [
+                _reset_flow(offer.packet, 'nobody_took_it', **offer.estimate_fields)
+            ]
         if self._placer is not None:
-            member = self._placer.place(offer, now)
+            if self._placer.misses_deadline(offer, now):
+                self._end_offer(token, offer)
+                return [_reset_flow(offer.packet, rejecting.DEADLINE)]
+            member = self._placer.place_unless_others_wait(offer, now)
         else:
             member = self._next_member(offer, now)
             if member is None and not offer.is_final:
@@ -255,7 +271,29 @@
         offer.tried.clear()
         offer.due_at = relay_waiting.expires_at(offer)
         self._waiting_offers.add(token, offer)
-        return [event]
+        if self._placer is None:
+            return [event]
+        return [event, *self._serve_waiting(self._placer, now, offer.service)]
+
+    def _serve_waiting(
+        self, placer: placing.Placer, now: float, *services: str
+    ) -> list[effects.Effect]:
+        """Offer the first packets that go next, and reset those without a chance.
+
+        :param placer: chooses members.
+        :param now: the time in seconds.
+        :param services: services whose next first packet is offered.
+        """
+        emitted: list[effects.Effect] = []
+        for service in services:
+            waiting = placer.queue.next_of(service, now)
+            member = waiting and placer.place(waiting[1], now)
+            if waiting and member:
+                emitted.append(self._send_offer(*waiting, member, now))
+        for token, offer, reason in placer.queue.rejections(now):
+            self._end_offer(token, offer)
+            emitted.append(_reset_flow(offer.packet, reason, **offer.estimate_fields))
+        return emitted
 
     def _next_member(
         self,
@@ -294,7 +332,7 @@
         member.record_request(now)
         member.offered_flows += 1
         if self._placer is not None:
-            self._placer.record_offer(token, member, now)
+            self._placer.record_offer(token, offer, member, now)
         message = relaying.Offer(
             token,
             relaying.compute_service_tag(offer.service),
@@ -319,6 +357,8 @@
             waiting = self._waiting_offers.next_of(member.service, now)
             if waiting is None:
                 return emitted
+            if self._placer and not self._placer.suits(member, waiting[1], now):
+                return emitted
             emitted.append(self._send_offer(*waiting, member, now))
         return emitted
 
@@ -461,6 +501,8 @@
             return []
         offer = self._offer_by_token.get(token)
         if offer is not None:
+            if self._placer is not None:
+                self._placer.record_accepted(offer, member, now)
             self._end_offer(token, offer)
             placed_event = effects.Log(
                 'flow_placed',
@@ -512,6 +554,8 @@
         now: float,
     ) -> list[effects.Effect]:
         offer = self._offer_by_token.get(passed.token)
+        if self._placer is not None:
+            self._placer.record_passed(passed, member, now)
         if offer is None:
             return []
         return self._advance_offer(passed.token, offer, now)
@@ -609,6 +653,8 @@
 
     def _end_offer(self, token: int, offer: relay_pending.Offer) -> None:
         self._waiting_offers.remove(offer)
+        if self._placer is not None:
+            self._placer.forget_offer(token)
         self._offer_by_token.pop(token, None)
         self._token_by_key.pop(offer.key, None)
 
@@ -627,5 +673,5 @@
                     self._placer.forget(member)
 
 
-def _reset_flow(packet: packets.Packet, reason: str) -> effects.Reset:
-    return effects.Reset(packet.key, packet.acknowledged, reason)
+def _reset_flow(packet: packets.Packet, reason: str, **fields: object) -> effects.Reset:
+    return effects.Reset(packet.key, packet.acknowledged, reason, **fields)
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -83,8 +83,14 @@
     def _reset(self, effect: effects.Reset) -> None:
         raw = self._codec.reset(effect.key, effect.sequence)
         self._client_socket.send(raw, self._codec.client_of(effect.key))
+        self._metrics.count(f'flow_reset_{effect.reason}')
         self._log_event(
-            effects.Log('flow_reset', flow=effect.key.hex(), reason=effect.reason),
+            effects.Log(
+                'flow_reset',
+                flow=effect.key.hex(),
+                reason=effect.reason,
+                **effect.fields,
+            ),
         )
 
     def _log_event(self, event: effects.Log) -> None:
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -68,7 +68,7 @@
             platform.codec,
             entry_settings.link_mbps,
             entry_settings.max_flow_seconds,
-            _placer_of(entry_settings, self._members),
+            _placer_of(entry_settings, self._members, platform.codec.opening),
         )
         self._members_listed_at: float | None = None
         self._has_been_ready = False
@@ -341,10 +341,12 @@
 
 
 def _placer_of(
-    entry_settings: settings.RelayEntry, members: relay_members.Members
+    entry_settings: settings.RelayEntry,
+    members: relay_members.Members,
+    opening: packets.Opening,
 ) -> placing.Placer | None:
     if entry_settings.placement == settings.EARLIEST_FINISH:
-        return placing.Placer(members, entry_settings.domain, random.Random())
+        return placing.Placer(members, entry_settings.domain, random.Random(), opening)
     return None
 
 
--- a/src/egretjunction/relay/packets.py
+++ b/src/egretjunction/relay/packets.py
@@ -84,6 +84,11 @@
         self._offsets_seconds = tuple(offsets_seconds)
         self.timeout_seconds = timeout_seconds
 
+    @property
+    def last_copy_seconds(self) -> float:
+        """Return when a client sends the last copy of a first packet."""
+        return self._offsets_seconds[-1]
+
     def started_at(self, packet: Packet, now: float) -> float:
         """Return when the client sent the original of a first packet."""
         retransmissions = min(packet.acknowledged, len(self._offsets_seconds) - 1)
--- a/tests/decisions/load/test_placing.py
+++ b/tests/decisions/load/test_placing.py
@@ -174,3 +174,107 @@
         for number in range(5):
             _place(flows, number)
     assert looked_at[1000] <= looked_at[16] * 1.5
+
+
+def _placed_at(flows, count, now):
+    """Return how many of new first packets are offered to each member."""
+    chosen = collections.Counter()
+    for number in range(count):
+        member, message = _place(flows, number, now)
+        chosen[member.name] += 1
+        passed = relaying.Passed(message.token, relaying.Reason.BUSY, member.status)
+        flows.on_message(passed, member.address, now)
+        flows._end_offer(message.token, flows._offer_by_token[message.token])
+    return chosen
+
+
+def test_failing_member_gets_probes_only():
+    """Servers that fail requests may pass their health check, and look idle."""
+    flows, members = _entry(*('a' * 6), slots=50, request_ms=20, wait_ms=0)
+    _report(flows, members[0], 0.5, slots=50, request_ms=20, failure_percent=40)
+    flows.tick(0.5)
+    chosen = _placed_at(flows, 600, 0.5)
+    assert 0 < chosen['m-0'] < 30
+
+
+def test_slow_member_takes_what_it_answers_within_the_target_when_all_are_full():
+    flows, members = _entry('a', 'a', 'a', request_ms=20, wait_ms=0)
+    _report(flows, members[0], 0.5, request_ms=120, wait_ms=0)
+    for member in members[1:]:
+        _report(flows, member, 0.5, work=2, request_ms=20, wait_ms=30)
+    assert _place(flows, 1, now=0.5)[0] is members[0]
+
+
+def test_verdicts_are_logged():
+    flows, members = _entry('a', 'a', 'a', request_ms=20, wait_ms=0)
+    flows.tick(0.45)
+    _report(flows, members[0], 0.5, request_ms=200)
+    logs = build.of_type(flows.tick(0.5), effects.Log)
+    assert [(log.event, log.fields['outlier']) for log in logs] == [
+        ('member_outlier', True)
+    ]
+
+
+def test_newcomer_waits_behind_those_that_wait():
+    """It would take the slot that has just become free, before more urgent ones."""
+    flows, (member,) = _entry('a', request_ms=20, wait_ms=0)
+    _report(flows, member, 0, work=2, request_ms=20, wait_ms=40)
+    assert _place(flows, 1, now=0.001) == (None, None)
+    member.record_status(build.status(slots=1, request_ms=20, wait_ms=0), 0.002)
+    flows.members.index.refresh(member)
+    packet = build.first_packet(build.flow_key(2))
+    emitted = flows.on_client_packet(packet, 0.003)
+    (offered,) = build.sent_messages(emitted, relaying.Offer)
+    assert build.Codec().from_client(offered[0].packet).key == build.flow_key(1)
+
+
+def test_waiting_first_packets_go_to_a_failing_member_only_as_probes():
+    flows, members = _entry('a', 'a', 'a', request_ms=20, wait_ms=0)
+    for member in members:
+        _report(flows, member, 0, work=2, wait_ms=40, request_ms=20)
+    assert _place(flows, 1, now=0.001)[0] is None
+    failing = build.status(slots=1, request_ms=20, failure_percent=60)
+    offered = 0
+    for _ in range(200):
+        pong = relaying.Pong(build.SERVICE_TAG, failing)
+        emitted = flows.on_message(pong, members[0].address, 0.002)
+        for message, _address in build.sent_messages(emitted, relaying.Offer):
+            offered += 1
+            full = build.status(slots=1, work=2, request_ms=20, failure_percent=60)
+            passed = relaying.Passed(message.token, relaying.Reason.BUSY, full)
+            flows.on_message(passed, members[0].address, 0.002)
+    assert 5 < offered < 40
+    pong = relaying.Pong(build.SERVICE_TAG, build.status(slots=1, request_ms=20))
+    emitted = flows.on_message(pong, members[1].address, 0.003)
+    assert len(build.sent_messages(emitted, relaying.Offer)) == 1
+
+
+def test_first_packet_that_misses_its_deadline_anywhere_is_reset_at_once():
+    flows, _ = _entry('a', request_ms=9000, wait_ms=0)
+    packet = build.first_packet(build.flow_key(1))
+    (reset,) = build.of_type(flows.on_client_packet(packet, 0.01), effects.Reset)
+    assert reset.reason == 'rejected_deadline'
+
+
+def test_backlog_is_reset_with_the_inputs_of_the_decision():
+    """Before, each of them was held until its client gave up."""
+    flows, (member,) = _entry('a', request_ms=20, wait_ms=0)
+    resets = []
+    for step in range(300):
+        now = step * 0.005
+        _report(flows, member, now, work=2, request_ms=20, wait_ms=40)
+        packet = build.first_packet(build.flow_key(step))
+        emitted = flows.on_client_packet(packet, now) + flows.tick(now)
+        resets += [(now, reset) for reset in build.of_type(emitted, effects.Reset)]
+    assert {reset.reason for _, reset in resets} == {'rejected_backlog'}
+    assert 1.0 <= resets[0][0] < 1.3
+
+
+def test_nothing_is_reset_early_after_a_start_or_a_pause():
+    flows, (member,) = _entry('a', request_ms=20, wait_ms=0)
+    for step in range(300):
+        now = step * 0.004
+        _report(flows, member, now, work=2, request_ms=20, wait_ms=40)
+        flows.on_client_packet(build.first_packet(build.flow_key(step)), now)
+        emitted = flows.tick(now, stalled_seconds=0.3 if step % 200 == 0 else 0)
+        assert not build.of_type(emitted, effects.Reset), now
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -184,7 +184,9 @@
     active_routes.adopt(routes or relay_routes.RouteTable(1, [route]))
     placer = None
     if placement_seed is not None:
-        placer = placing.Placer(members, domain, random.Random(placement_seed))
+        placer = placing.Placer(
+            members, domain, random.Random(placement_seed), Codec.opening
+        )
     flows = relay_entry.EntryFlows(
         members, active_routes, Codec(), link_mbps, MAX_FLOW_SECONDS, placer
     )
