--- a/src/egretjunction/decisions/load/__init__.py
+++ b/src/egretjunction/decisions/load/__init__.py
@@ -1,1 +1,1 @@
-"""Load of a backend server as learned from its flows, and placement by it."""
+"""Load of backend servers as learned from their flows, and placement by it."""
--- a/src/egretjunction/decisions/relay_effects.py
+++ b/src/egretjunction/decisions/relay_effects.py
@@ -48,11 +48,15 @@
     :param sequence: a sequence number close to the last one that the client
         acknowledged.
     :param reason: the reason that is logged.
+    :param fields: further fields of the log line.
     """
 
-    __slots__ = ('key', 'reason', 'sequence')
+    __slots__ = ('fields', 'key', 'reason', 'sequence')
 
-    def __init__(self, key: bytes, sequence: int, reason: str) -> None:
+    def __init__(
+        self, key: bytes, sequence: int, reason: str, **fields: object
+    ) -> None:
+        self.fields = fields
         self.key = key
         self.sequence = sequence
         self.reason = reason
@@ -80,6 +84,11 @@
     return round(seconds * MILLISECONDS_PER_SECOND, 1)
 
 
-def reset_of(packet: packets.Packet, reason: str) -> Reset:
-    """Return a reset of the flow that a client's packet belongs to."""
-    return Reset(packet.key, packet.acknowledged, reason)
+def reset_of(packet: packets.Packet, reason: str, **fields: object) -> Reset:
+    """Return a reset of the flow that a client's packet belongs to.
+
+    :param packet: a client's packet of the flow.
+    :param reason: the reason that is logged.
+    :param fields: further fields of the log line.
+    """
+    return Reset(packet.key, packet.acknowledged, reason, **fields)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -10,6 +10,8 @@
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_searching
 from egretjunction.decisions import relay_waiting
+from egretjunction.decisions.load import placing
+from egretjunction.decisions.load import rejecting
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
@@ -28,6 +30,8 @@
     :param codec: reads packets and derives the route's address from a flow's key.
     :param link_mbps: capacity of the entry's link in megabits per second.
     :param max_flow_seconds: age from which a flow may be dropped.
+    :param placer: places first packets by expected finish; None for the least loaded
+        member.
     """
 
     def __init__(
@@ -37,7 +41,9 @@
         codec: packets.Codec,
         link_mbps: float,
         max_flow_seconds: float,
+        placer: placing.Placer | None = None,
     ) -> None:
+        self._placer = placer
         self._max_flow_seconds = max_flow_seconds
         self.members = members
         self.routes = routes
@@ -45,7 +51,7 @@
         self._codec = codec
         self._flow_by_key: dict[bytes, relay_pending.Flow] = {}
         self._offer_by_token: dict[int, relay_pending.Offer] = {}
-        self._waiting_offers = relay_waiting.WaitingOffers()
+        self._waiting_offers = placer.queue if placer else relay_waiting.WaitingOffers()
         self._tokens = relay_pending.Tokens()
         self._searches = relay_searching.Searches(
             members, routes, codec, self._tokens, link_mbps
@@ -113,7 +119,10 @@
         before = member.status
         if status.is_evacuated and not before.is_evacuated:
             self.review_waiting_offers(now)
-        member.record_status(status, now)
+        if self._placer is None:
+            member.record_status(status, now)
+        else:
+            self._placer.record_message(member, message, now)
         self._searches.note_status(member, before)
         self.newest_version = max(self.newest_version, status.version)
         emitted = handler(message, member, now)
@@ -162,6 +171,10 @@
         """
         self.members.discount_pause(stalled_seconds)
         emitted: list[effects.Effect] = []
+        if self._placer is not None:
+            self._placer.record_pause(stalled_seconds, now)
+            emitted += self._placer.pop_events()
+            emitted += self._serve_waiting(self._placer, now)
         for member in self.members.due_for_ping(now):
             member.pinged_at = now
             member.record_request(now)
@@ -177,6 +190,8 @@
             emitted.extend(self._offer_waiting_to_all(now))
         for token, offer in list(self._offer_by_token.items()):
             if now >= offer.due_at:
+                if self._placer is not None:
+                    self._placer.record_unanswered(token, now)
                 emitted += self._advance_offer(token, offer, now)
         emitted += self._searches.tick(now)
         if now - self._last_cleanup_at > 1:
@@ -191,6 +206,8 @@
         offer = self._offer_by_token.get(token or 0)
         if offer is not None and token is not None:
             offer.last_seen_at = now
+            if self._placer is not None:
+                self._placer.queue.touch(offer)
             return [] if offer.is_waiting else self._advance_offer(token, offer, now)
         self._searches.forget(packet.key)
         flow = self._flow_by_key.get(packet.key)
@@ -211,6 +228,8 @@
         offer = relay_pending.Offer(packet, service, route, opening, now)
         token = self._tokens.issue(packet.key)
         self._offer_by_token[token] = offer
+        if self._placer is not None:
+            self._placer.queue.record_arrival(offer, now)
         return self._advance_offer(token, offer, now)
 
     def _advance_offer(
@@ -223,14 +242,11 @@
         if offer.early_packets:
             self._end_offer(token, offer)
             return self._handle_early_packets(offer.early_packets, now)
-        if relay_waiting.is_expired(offer, now):
+        reset = self._rejection_of(token, offer, now)
+        if reset is not None:
             self._end_offer(token, offer)
-            return [effects.reset_of(offer.packet, 'nobody_took_it')]
-        member = self._next_member(offer, now)
-        if member is None and not offer.is_final:
-            offer.is_final = True
-            offer.tried.clear()
-            member = self._next_member(offer, now)
+            return [reset]
+        member = self._choose_member(offer, now)
         if member is not None:
             return [self._send_offer(token, offer, member, now)]
         if self.members.is_service_evacuated(offer.service, now):
@@ -242,11 +258,60 @@
             route=offer.route,
             version=self.routes.version,
             members=self.members.count_ready(offer.service, now),
+            **offer.estimate_fields,
         )
         offer.tried.clear()
         offer.due_at = relay_waiting.expires_at(offer)
         self._waiting_offers.add(token, offer)
-        return [event]
+        if self._placer is None:
+            return [event]
+        return [event, *self._serve_waiting(self._placer, now, offer.service)]
+
+    def _rejection_of(
+        self, token: int, offer: relay_pending.Offer, now: float
+    ) -> effects.Reset | None:
+        """Return the reset of a first packet that no server can serve in time."""
+        if relay_waiting.is_expired(offer, now):
+            fields = offer.estimate_fields
+            return effects.reset_of(offer.packet, 'nobody_took_it', **fields)
+        if self._placer and self._placer.misses_deadline(token, offer, now):
+            return effects.reset_of(offer.packet, rejecting.DEADLINE)
+        return None
+
+    def _choose_member(
+        self, offer: relay_pending.Offer, now: float
+    ) -> relay_members.Member | None:
+        """Return the member that a first packet is offered to next, if any."""
+        if self._placer is not None:
+            return self._placer.place_unless_others_wait(offer, now)
+        member = self._next_member(offer, now)
+        if member is None and not offer.is_final:
+            offer.is_final = True
+            offer.tried.clear()
+            member = self._next_member(offer, now)
+        return member
+
+    def _serve_waiting(
+        self, placer: placing.Placer, now: float, *services: str
+    ) -> list[effects.Effect]:
+        """Offer the first packets that go next, and reset those without a chance.
+
+        :param placer: chooses members.
+        :param now: the time in seconds.
+        :param services: services whose next first packet is offered.
+        """
+        emitted: list[effects.Effect] = []
+        for service in services:
+            waiting = placer.queue.next_of(service, now)
+            member = waiting and placer.place(waiting[1], now)
+            if waiting and member:
+                emitted.append(self._send_offer(*waiting, member, now))
+        for token, offer, reason in placer.queue.rejections(now):
+            self._end_offer(token, offer)
+            emitted.append(
+                effects.reset_of(offer.packet, reason, **offer.estimate_fields)
+            )
+        return emitted
 
     def _next_member(
         self,
@@ -284,6 +349,8 @@
         member.used_at = now
         member.record_request(now)
         member.offered_flows += 1
+        if self._placer is not None:
+            self._placer.record_offer(token, offer, member, now)
         message = relaying.Offer(
             token,
             relaying.compute_service_tag(offer.service),
@@ -308,6 +375,8 @@
             waiting = self._waiting_offers.next_of(member.service, now)
             if waiting is None:
                 return emitted
+            if self._placer and not self._placer.suits(member, waiting[1], now):
+                return emitted
             emitted.append(self._send_offer(*waiting, member, now))
         return emitted
 
@@ -345,6 +414,8 @@
             return []
         offer = self._offer_by_token.get(token)
         if offer is not None:
+            if self._placer is not None:
+                self._placer.record_accepted(offer, member, now)
             self._end_offer(token, offer)
             placed_event = effects.Log(
                 'flow_placed',
@@ -357,6 +428,7 @@
                 tried=len(offer.tried),
                 final=offer.is_final,
                 ms=effects.milliseconds(now - offer.started_at),
+                **offer.estimate_fields,
             )
             return [placed_event, *self._handle_early_packets(offer.early_packets, now)]
         flow.owner = member.address
@@ -379,6 +451,8 @@
         now: float,
     ) -> list[effects.Effect]:
         offer = self._offer_by_token.get(passed.token)
+        if self._placer is not None:
+            self._placer.record_passed(passed, member, now)
         if offer is None:
             return []
         return self._advance_offer(passed.token, offer, now)
@@ -400,6 +474,8 @@
 
     def _end_offer(self, token: int, offer: relay_pending.Offer) -> None:
         self._waiting_offers.remove(offer)
+        if self._placer is not None:
+            self._placer.forget_offer(token)
         self._offer_by_token.pop(token, None)
         self._tokens.release(offer.key)
 
@@ -410,6 +486,8 @@
         for member in self.members.expired(now):
             if not member.is_listed:
                 self.members.remove(member)
+                if self._placer is not None:
+                    self._placer.forget(member)
 
 
 def _takes_retransmission(
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -10,6 +10,7 @@
 from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_pinging
 from egretjunction.decisions import relay_work
+from egretjunction.decisions.load import index
 from egretjunction.wire import relaying
 
 SUSPECT_AFTER_SECONDS = 0.25  # answers within a failure domain take a few milliseconds
@@ -160,6 +161,7 @@
     ``is_watched`` tells whether a watch reports each change of the listings,
     ``wants_listing`` whether a new listing is needed to tell that an agent is unknown,
     and ``can_vouch`` whether the entry can tell which agents the store lists now.
+    ``index`` holds the members by service, failure domain and free capacity.
 
     :param domain: failure domain of the entry.
     """
@@ -177,6 +179,7 @@
         self.evacuations = relay_evacuation.Evacuations(self.eras)
         self._probed_by_service: dict[str, list[Member]] | None = None
         self._probed_names: set[str] = set()
+        self.index = index.MemberIndex()
 
     def add_or_update(self, member: Member) -> Member | None:
         """Add or update a listed member; return it if it is new or has moved."""
@@ -185,6 +188,7 @@
             existing.is_listed = True
             if existing.service != member.service:
                 existing.service = member.service
+                self.index.add(existing)
                 self._note_change()
             return None
         if existing is not None:
@@ -195,6 +199,7 @@
         self.member_by_name[member.name] = member
         member.is_domain_evacuated = member.domain in self.evacuations
         self.member_by_address[member.address] = member
+        self.index.add(member)
         self._note_change()
         return member
 
@@ -254,6 +259,7 @@
     def remove(self, member: Member) -> None:
         """Remove a member."""
         self.member_by_name.pop(member.name, None)
+        self.index.remove(member)
         self._note_change()
         if self.member_by_address.get(member.address) is member:
             self.member_by_address.pop(member.address)
--- a/src/egretjunction/decisions/relay_pending.py
+++ b/src/egretjunction/decisions/relay_pending.py
@@ -3,6 +3,7 @@
 from egretjunction import addresses
 from egretjunction.decisions import relay_denials
 from egretjunction.decisions import relay_routes
+from egretjunction.decisions.load import finish
 from egretjunction.relay import packets
 
 EARLY_PACKET_SECONDS = 0.02  # answers are late by at most the latency between domains
@@ -61,6 +62,7 @@
     """
 
     __slots__ = (
+        '_estimate',
         'due_at',
         'early_packets',
         'is_final',
@@ -95,6 +97,7 @@
         self.tried: set[str] = set()
         self.early_packets: list[packets.Packet] = []
         self.is_final = False
+        self._estimate: finish.Estimate | None = None
         self.is_waiting = False
         self.started_at = opening.started_at(packet, now)
         self.last_seen_at = now
@@ -115,6 +118,20 @@
             self.early_packets.append(packet)
         self.due_at = min(self.due_at, now + EARLY_PACKET_SECONDS)
 
+    def record_estimate(self, estimate: finish.Estimate) -> None:
+        """Record the expected finish that led to the last choice of a member."""
+        self._estimate = estimate
+
+    @property
+    def estimate_fields(self) -> dict[str, float]:
+        """Return that estimate in milliseconds for the log, if there is one."""
+        if self._estimate is None:
+            return {}
+        return {
+            name: round(seconds * finish.MILLISECONDS_PER_SECOND, 1)
+            for name, seconds in self._estimate._asdict().items()
+        }
+
 
 class Search:
     """A search for the owner of a flow that this entry has no record of.
