Name the agents that an abandoned search waited for

The event has the number of agents without an answer, how many were never asked, up to three names with their states, whether the view was complete, and the duration. Telling whether the view is complete asks for no listing.

Both new tests fail before the change, since the fields are missing.

--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -220,13 +220,17 @@
         self._listed_at = now
         self.wants_listing = False
 
+    def has_current_listing(self, now: float) -> bool:
+        """Tell whether no listed agent can be missing."""
+        return self.is_watched or now - self._listed_at <= FRESH_LISTING_SECONDS
+
     def is_complete(self, now: float) -> bool:
         """Tell whether the entry knows every listed agent; else ask for a listing.
 
         An agent that is listed while this entry is not, since its key was taken away,
         announces itself to the other entries only.
         """
-        is_current = self.is_watched or now - self._listed_at <= FRESH_LISTING_SECONDS
+        is_current = self.has_current_listing(now)
         self.wants_listing = self.wants_listing or not is_current
         return is_current and self.eras.is_settled(now)
 
--- a/src/egretjunction/decisions/relay_searching.py
+++ b/src/egretjunction/decisions/relay_searching.py
@@ -13,6 +13,7 @@
 SEARCH_ROUND_SECONDS = 0.08  # an agent's probe of its server, plus a round trip
 MAX_SEARCH_SECONDS = 1.0
 LISTING_SECONDS = 0.02  # the store answers within a few milliseconds
+MAX_NAMED_MEMBERS = 3  # in a log line
 MAX_MEMBERS_PER_ROUND = 64  # agents asked at once in a search
 
 
@@ -195,10 +196,10 @@
         entries of the domain. That nobody holds a flow is known only once all members
         of a complete view have denied it.
         """
+        candidates = self._candidates.serving(search.services) & ~search.record.denied
         if now - search.started_at > MAX_SEARCH_SECONDS:
             self._end(token, search)
-            return [effects.Log('search_failed', flow=search.key.hex())]
-        candidates = self._candidates.serving(search.services) & ~search.record.denied
+            return [self._failure_event(search, candidates, now)]
         if not candidates and not self._is_view_complete(now):
             search.due_at = now + LISTING_SECONDS
             return []
@@ -213,6 +214,28 @@
             self._add_question(token, search, member)
         return self._send_due_questions(now)
 
+    def _failure_event(
+        self, search: relay_pending.Search, candidates: int, now: float
+    ) -> effects.Log:
+        """Return the event of an abandoned search, with the agents it waited for."""
+        named = self._candidates.members_in(candidates, MAX_NAMED_MEMBERS)
+        is_complete = (
+            self._members.has_current_listing(now)
+            and self._members.eras.is_settled(now)
+            and not self._candidates.has_unidentified(now)
+        )
+        return effects.Log(
+            'search_failed',
+            flow=search.key.hex(),
+            undecided=candidates.bit_count(),
+            unasked=(candidates & ~search.asked).bit_count(),
+            members=','.join(
+                f'{member.name}:{member.status.state.name.lower()}' for member in named
+            ),
+            complete=is_complete,
+            ms=effects.milliseconds(now - search.started_at),
+        )
+
     def _is_view_complete(self, now: float) -> bool:
         """Tell whether the entry knows every agent that may hold a flow."""
         return not self._candidates.has_unidentified(now) and self._members.is_complete(
--- a/tests/decisions/test_relay_searching.py
+++ b/tests/decisions/test_relay_searching.py
@@ -249,3 +249,34 @@
 def test_question_of_a_single_search_is_not_delayed():
     entry = build.entry('m-1')
     assert build.owner_questions(entry.on_client_packet(build.request(), 0))
+
+
+def _failure(emitted):
+    (event,) = [
+        log
+        for log in build.of_type(emitted, effects.Log)
+        if log.event == 'search_failed'
+    ]
+    return event.fields
+
+
+def test_abandoned_search_names_the_members_that_did_not_answer():
+    """Guards against abandoned searches whose cause only a trace of packets shows."""
+    entry = build.entry('m-1', 'm-2', 'm-3', 'm-4', 'm-5')
+    starting = build.status(relaying.State.STARTING)
+    entry.members.member_by_name['m-2'].record_status(starting, 0)
+    emitted = entry.on_client_packet(build.request(), 0)
+    _deny(entry, 'm-1', emitted, 0.01)
+    fields = _failure(_run(entry, 0, 1.1))
+    assert (fields['undecided'], fields['unasked']) == (4, 0)
+    assert fields['members'] == 'm-2:starting,m-3:ready,m-4:ready'
+    assert fields['complete']
+
+
+def test_abandoned_search_tells_that_the_view_was_not_complete():
+    entry = build.entry('m-1')
+    entry.members.is_watched = False
+    emitted = entry.on_client_packet(build.request(), 5)
+    _deny(entry, 'm-1', emitted, 5.01)
+    fields = _failure(_run(entry, 5, 6.1))
+    assert (fields['undecided'], fields['complete']) == (0, False)
