Count an agent's silence unless the entry could not read

Cause: the lateness of each tick was taken for a pause and excluded from the silence of all agents. At an overloaded entry each tick is late, so that agents that are listed but gone never counted as dead and blocked every search.

In addition, as long as a tick cannot read the agents' socket until it is empty, the time since the last tick that could does not count, since answers may be among the unread datagrams.

Ruled out: a bound on what is excluded, which takes agents for dead after a long pause; no exclusion at all, since an agent on a paused machine answers only after it goes on.

--- a/src/egretjunction/_udp.py
+++ b/src/egretjunction/_udp.py
@@ -67,20 +67,22 @@
         self._loop.remove_reader(self._socket)
         self._socket.close()
 
-    def read(self, max_datagrams: int) -> None:
+    def read(self, max_datagrams: int) -> bool:
         """Pass received datagrams to the callback.
 
         :param max_datagrams: upper bound on the number of datagrams to read.
+        :return: whether no datagram is left.
         """
         for _ in range(max_datagrams):
             try:
                 datagram, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
-                return
+                return True
             except OSError:
                 self.dropped += 1
-                return
+                return False
             self._receive(datagram, sender)
+        return False
 
     def _on_ready(self) -> None:
         self.read(MAX_DATAGRAMS_PER_READ)
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -150,7 +150,8 @@
         """Run all timers that are due.
 
         :param now: the time in seconds.
-        :param stalled_seconds: how long this process was stalled since the last call.
+        :param stalled_seconds: time since the last call in which this process could
+            not read what agents sent.
         """
         self.members.discount_pause(stalled_seconds)
         emitted: list[effects.Effect] = []
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -350,7 +350,7 @@
 
     def discount_pause(self, seconds: float) -> None:
         """Exclude a pause of this process from the silence of all members."""
-        for member in self.member_by_name.values():
+        for member in self.member_by_name.values() if seconds else ():
             member.unanswered_since += seconds
 
     def due_for_ping(self, now: float) -> list[Member]:
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -12,6 +12,7 @@
 from egretjunction import store
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_pauses
 from egretjunction.decisions import relay_routes
 from egretjunction.relay import _configuration
 from egretjunction.relay import _http
@@ -74,7 +75,7 @@
         )
         self._draining_since: float | None = None
         self._last_client_packet_at = float('-inf')
-        self._last_tick_at = self._clock()
+        self._pauses = relay_pauses.Pauses(self._clock())
         self._loop = _loop.Loop()
         self._metrics = metrics.Metrics('entry')
         self._configuration = _configuration.Follower(
@@ -206,7 +207,12 @@
         has_members = bool(self._members.member_by_name)
         return has_members or self._members.eras.is_settled(self._clock())
 
+    def _note_run(self) -> None:
+        """Exclude a pause of this process from the silence of agents."""
+        self._members.discount_pause(self._pauses.record_run(self._clock()))
+
     def _on_client_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        self._note_run()
         try:
             packet = self._platform.codec.from_client(datagram)
         except errors.PacketError as error:
@@ -230,6 +236,7 @@
                 self._executor.apply(self._flows.on_client_packet(packet, now))
 
     def _on_agent_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        self._note_run()
         try:
             message = relaying.decode(datagram)
             flow_effects = self._flows.on_message(message, sender, self._clock())
@@ -239,17 +246,15 @@
         self._executor.apply(flow_effects)
 
     def _tick(self) -> None:
-        self._agents.read(MAX_AGENT_DATAGRAMS)
+        self._note_run()
+        is_emptied = self._agents.read(MAX_AGENT_DATAGRAMS)
         now = self._clock()
-        stalled_seconds = max(
-            float(0), now - self._last_tick_at - _process.TICK_SECONDS
-        )
-        self._last_tick_at = now
+        unread_seconds = self._pauses.record_read(now, is_emptied=is_emptied)
         self._members.can_vouch = (
             self._configuration.is_store_reached
             and self._members.eras.newest == self._configuration.store_era
         )
-        self._executor.apply(self._flows.tick(now, stalled_seconds))
+        self._executor.apply(self._flows.tick(now, unread_seconds))
         self._configuration.note_version(self._flows.newest_version)
         if self._members.wants_listing:
             self._follower.request_listing()
