Rate limit for first packets to cold servers

Cause: after a power loss all servers come back cold, and an entry counted a cold server as half a slot fuller only. Nothing bounded the first packets that it got in a second.

Ruled out: a share of the bound for each entry (shares of idle entries stay unused); a token bucket or fixed windows (some second then exceeds the bound).

Change: the agent keeps the times of the first packets of the last second, and declines offers above the bound as busy. Retransmissions count, and those above the bound are dropped. Entries forward the operators' figure with pings, offer no more than the openings that the agent reports, and are told when there are some again. A restarted agent counts its first second as used.

Tests: the bound in any sliding second for arbitrary arrivals at two entries, a restarted agent, fractional, zero and malformed figures, notices; and processes with the stand-in store. Before the change none of these had a limit to test.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -4,6 +4,7 @@
 
 from egretjunction import addresses
 from egretjunction.decisions import relay_announcing
+from egretjunction.decisions import relay_cold
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_flows
@@ -27,6 +28,7 @@
     :param codec: reads packets that entries forward.
     :param max_flow_seconds: age from which a flow may be dropped.
     :param announcer: makes the agent known to entries.
+    :param cold_limit: bounds first packets while the server is cold; None for no limit.
     """
 
     def __init__(
@@ -35,7 +37,9 @@
         codec: packets.Codec,
         max_flow_seconds: float,
         announcer: relay_announcing.Announcer,
+        cold_limit: relay_cold.ColdLimit | None = None,
     ) -> None:
+        self.cold_limit = cold_limit or relay_cold.ColdLimit(server.is_cold)
         self._announcer = announcer
         self._max_flow_seconds = max_flow_seconds
         self.server = server
@@ -206,7 +210,8 @@
             )
             emitted.append(effects.Send(entry, announcement))
         emitted += self._notify_waiting_entries(now)
-        if self.state(now) != self._reported_state:
+        is_reopened = self.cold_limit.pop_reopened(now)
+        if is_reopened or self.state(now) != self._reported_state:
             emitted += self.broadcast_status(now)
         return emitted
 
@@ -227,6 +232,7 @@
             self.server.cold_ms(now),
             self.server.is_known_since_start or self.server.is_gone,
             self.own_domain.is_evacuated,
+            self.cold_limit.openings_left(now),
         )
 
     def announce(
@@ -251,7 +257,10 @@
         """Notify entries with waiting first packets that there is free capacity."""
         if not self._waiting_entries:
             return []
-        if not self._requests.has_capacity(self.server.slots, now, is_final=True):
+        has_capacity = self._requests.has_capacity(
+            self.server.slots, now, is_final=True
+        )
+        if not has_capacity or self.cold_limit.openings_left(now) == 0:
             return []
         pong = relaying.Pong(self._service_tag, self.status(now))
         emitted = [effects.Send(entry, pong) for entry in self._waiting_entries]
@@ -268,7 +277,10 @@
         flow = self._flow_by_key.get(packet.key)
         if flow is not None and _is_retransmission(flow, packet):
             held = _held_message(flow, offer.token, packet.key, self.status(now))
-            return [effects.ToServer(packet.raw), effects.Send(entry, held)]
+            answer = effects.Send(entry, held)
+            if self.cold_limit.take(now):
+                return [effects.ToServer(packet.raw), answer]
+            return [answer]
         reason = self._decline_reason(offer, now)
         if reason is not None:
             if reason is relaying.Reason.BUSY:
@@ -281,6 +293,7 @@
                 work=passed.status.work,
                 state=passed.status.state.name.lower(),
                 evacuated=passed.status.is_evacuated,
+                openings=passed.status.openings_left,
             )
             return [effects.Send(entry, passed), event]
         if flow is None or flow.is_open or flow.ended_at is not None:
@@ -293,6 +306,7 @@
         timeout_seconds = offer.timeout_ms / effects.MILLISECONDS_PER_SECOND
         self._requests.reserve(packet.key, timeout_seconds, now)
         self.server.record_sent(now)
+        self.cold_limit.take(now)
         token = self._add_probe(
             packet, entry, offer.token, now + self._codec.opening.timeout_seconds
         )
@@ -309,7 +323,10 @@
         is_ready = self.state(now) == relaying.State.READY
         if self.own_domain.is_evacuated or not is_ready:
             return relaying.Reason.NOT_READY
-        if len(self._flow_by_key) >= MAX_FLOWS:
+        if (
+            len(self._flow_by_key) >= MAX_FLOWS
+            or self.cold_limit.openings_left(now) == 0
+        ):
             return relaying.Reason.BUSY
         slots = self.server.slots
         if not self._requests.has_capacity(slots, now, is_final=offer.is_final):
@@ -328,6 +345,8 @@
         if is_opening and self.own_domain.is_evacuated:
             returned = relaying.Returned(packet.raw, self.status(now))
             return [effects.Send(entry, returned)]
+        if packet.is_first and not self.cold_limit.take(now):
+            return []
         if flow is None and not self.server.is_known_since_start:
             return self._probe_server(packet, entry, 0, now)
         if flow is None or not _matches_packet(flow, packet):
@@ -429,10 +448,12 @@
         claim = relay_evacuation.Claim(
             ping.is_evacuated, ping.evacuation_era, ping.evacuation_revision
         )
+        figure = self.cold_limit.record_figure(ping.cold_per_second, ping.version)
         events = self.own_domain.record(claim, str(entry))
         if events:
-            return events + self.broadcast_status(now)
-        return [effects.Send(entry, relaying.Pong(self._service_tag, self.status(now)))]
+            return [*figure, *events, *self.broadcast_status(now)]
+        pong = relaying.Pong(self._service_tag, self.status(now))
+        return [*figure, effects.Send(entry, pong)]
 
     def _add_probe(
         self,
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -179,6 +179,7 @@
                 not member.is_listed,
                 self.members.can_vouch,
                 *self.members.evacuations.claim(member.domain, now),
+                cold_per_second=self.routes.cold_per_second(member.service),
             )
             emitted.append(effects.Send(member.address, ping))
         if now - self._last_reoffer_at >= REOFFER_INTERVAL_SECONDS:
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -17,6 +17,7 @@
 UNREACHABLE_AFTER_SECONDS = 0.5
 DEAD_AFTER_SECONDS = 1.5  # longer than a process pauses when it exceeds its CPU quota
 EXPIRE_AFTER_SECONDS = 30.0
+OPENINGS_SECONDS = 1.0  # the openings of a cold server are counted per second
 FRESH_LISTING_SECONDS = 2.0  # agents listed since then announce themselves
 USED_SECONDS = 2.0  # a member counts as in use for this long after the last packet
 MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
@@ -118,8 +119,21 @@
         """Tell whether new flows may be offered to the agent."""
         if self.is_mistaken or self.is_evacuated():
             return False
+        if not self._has_openings(now):
+            return False
         return self.status.state == relaying.State.READY and not self.is_suspect(now)
 
+    def _has_openings(self, now: float) -> bool:
+        """Tell whether a cold server may get another first packet, as far as known.
+
+        A status that is older than the agent's window says nothing about it.
+        """
+        openings_left = self.status.openings_left
+        if openings_left == relaying.NO_LIMIT:
+            return True
+        is_outdated = now - self.last_status_at > OPENINGS_SECONDS
+        return is_outdated or self.offered_flows < openings_left
+
     @property
     def work(self) -> int:
         """Return its active requests, including flows offered since its last status."""
--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from egretjunction import addresses
+from egretjunction.wire import relaying
 
 # Bounds of a route that no accepted version of the configuration has stated.
 FALLBACK_TARGET_SECONDS = 0.2
@@ -55,17 +56,26 @@
 
     :param version: version number, increasing with each change.
     :param routes: the routes of that version.
-    :param problems: bounds of routes that are missing or not allowed, in words.
+    :param problems: bounds that are missing or not allowed, in words.
+    :param cold_per_second_by_service: requests that a cold server of a service bears
+        in a second; 0 if it is not limited, None if the figure is not allowed.
     """
 
-    __slots__ = ('problems', 'route_by_address', 'version')
+    __slots__ = (
+        'cold_per_second_by_service',
+        'problems',
+        'route_by_address',
+        'version',
+    )
 
     def __init__(
         self,
         version: int,
         routes: typing.Iterable[Route],
         problems: typing.Sequence[str] = (),
+        cold_per_second_by_service: typing.Mapping[str, float | None] | None = None,
     ) -> None:
+        self.cold_per_second_by_service = dict(cold_per_second_by_service or {})
         self.version = version
         self.problems = problems
         self.route_by_address = {route.address: route for route in routes}
@@ -74,8 +84,13 @@
         """Take unknown bounds of routes from the previous version.
 
         A route without one there gets the longest bound of this version, so that no
-        request is given up too early.
+        request is given up too early. A figure of a service that is not allowed is
+        replaced by the previous one too.
         """
+        for service, figure in self.cold_per_second_by_service.items():
+            if figure is None:
+                before_figure = previous.cold_per_second_by_service.get(service)
+                self.cold_per_second_by_service[service] = before_figure
         routes = self.route_by_address.values()
         longest_target = max((route.target_seconds for route in routes), default=0)
         longest_timeout = max((route.timeout_seconds for route in routes), default=0)
@@ -132,6 +147,17 @@
             ]
         return True
 
+    def cold_per_second(self, service: str) -> float:
+        """Return what a cold server of a service bears in a second.
+
+        :return: the figure, 0 if the operators give none, ``relaying.NO_LIMIT`` if no
+            allowed figure is known.
+        """
+        if not self.version:
+            return relaying.NO_LIMIT
+        figure = self._table.cold_per_second_by_service.get(service, 0)
+        return relaying.NO_LIMIT if figure is None else figure
+
     def route_at(self, address: addresses.Address) -> Route | None:
         """Return the route of an address, or None if it has none."""
         return self._table.route_by_address.get(address)
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -169,6 +169,10 @@
         )
         return is_overdue and now - self._unanswered_since > LOST_AFTER_SECONDS
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the server is slow after its start."""
+        return now < self._cold_until
+
     def cold_ms(self, now: float) -> int:
         """Return the remaining milliseconds of slow operation after the start."""
         return int(max(float(0), self._cold_until - now) * 1000)
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -11,6 +11,7 @@
 from egretjunction import metrics
 from egretjunction.decisions import relay_agent
 from egretjunction.decisions import relay_announcing
+from egretjunction.decisions import relay_cold
 from egretjunction.decisions import relay_server
 from egretjunction.relay import _http
 from egretjunction.relay import _loop
@@ -54,11 +55,18 @@
         self._announcer = relay_announcing.Announcer(
             agent_settings.name, agent_settings.domain
         )
+        self._cold_limit = relay_cold.ColdLimit(
+            self._server.is_cold,
+            agent_settings.cold_over,
+            agent_settings.cold_slack,
+            self._clock(),
+        )
         self._flows = relay_agent.AgentFlows(
             self._server,
             platform.codec,
             agent_settings.max_flow_seconds,
             self._announcer,
+            self._cold_limit,
         )
         self._listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
@@ -104,6 +112,9 @@
         gauge = self._metrics.gauge
         gauge('flows', lambda: self._flows.flow_count)
         gauge('domains_evacuated', lambda: int(self._flows.own_domain.is_evacuated))
+        gauge(
+            'cold_openings_left', lambda: self._cold_limit.openings_left(self._clock())
+        )
         gauge('requests_at_work', lambda: self._flows.active_requests(self._clock()))
         gauge(
             'datagrams_unsent',
@@ -121,6 +132,8 @@
             'work': self._flows.status(now).work,
             'flows': self._flows.flow_count,
             'version': self._flows.version,
+            'cold_per_second': self._cold_limit.per_second,
+            'openings_left': self._cold_limit.openings_left(now),
             'evacuated_domains': (
                 [self._settings.domain] if self._flows.own_domain.is_evacuated else []
             ),
--- a/tests/platform/test_operator_config.py
+++ b/tests/platform/test_operator_config.py
@@ -108,3 +108,33 @@
 def test_malformed_evacuation_is_rejected_with_its_key(key, document):
     with pytest.raises(errors.PlatformFormatError, match=key):
         operator_config.read_evacuation(key, document)
+
+
+def test_cold_figures_are_keyed_by_service():
+    services = [
+        {'name': 'a', 'cold_per_s': 2.5},
+        {'name': 'b', 'cold_per_s': 0},
+        {'name': 'c', 'other': 1},
+    ]
+    table = _read({'version': 7, 'routes': [], 'services': services})
+    assert table.cold_per_second_by_service == {'a': 2.5, 'b': 0, 'c': 0}
+    assert not table.problems
+
+
+@pytest.mark.parametrize('figure', [-1, 'many', True, None, [1]])
+def test_cold_figure_that_is_not_allowed_is_named_and_drops_no_route(figure):
+    services = [{'name': 'a', 'cold_per_s': figure}]
+    table = _read({'version': 7, 'routes': ROUTES[:1], 'services': services})
+    assert table.cold_per_second_by_service == {'a': None}
+    assert len(table.route_by_address) == 1
+    (problem,) = table.problems
+    for part in ('op/config', '"a"', 'cold_per_s', f'"{figure}"', 'allowed: a number'):
+        assert part in problem
+
+
+@pytest.mark.parametrize('services', [{'a': 1}, 'x', [1], [{'cold_per_s': 2}]])
+def test_malformed_services_are_named_and_drop_no_route(services):
+    table = _read({'version': 7, 'routes': ROUTES[:1], 'services': services})
+    assert not table.cold_per_second_by_service
+    assert len(table.route_by_address) == 1
+    assert len(table.problems) == 1
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -60,7 +60,7 @@
         udp_socket.settimeout(WAIT_SECONDS)
         return udp_socket
 
-    def start(self, role):
+    def start(self, role, *settings):
         """Start a daemon the way the operators' platform does."""
         host = ENTRY_HOST if role == 'entry' else AGENT_HOST
         lines = [f'[relay-{role}]', f'name = {role}-1', 'domain = a']
@@ -82,7 +82,7 @@
             lines += ['backend = {}:{}'.format(*self.server_socket.getsockname())]
             lines += [f'announcements = {host}:{self.http + 1}']
         path = self.folder / f'{role}.ini'
-        path.write_text('\n'.join(lines), 'utf-8')
+        path.write_text('\n'.join([*lines, *settings]), 'utf-8')
         with (self.folder / f'{role}.log').open('ab') as log:
             self.processes[role] = subprocess.Popen(
                 [sys.executable, str(ROOT / 'platform' / '__main__.py'), role],
@@ -102,13 +102,15 @@
             response = connection.getresponse()
             return response.status, response.read()
 
-    def announce(self, sequence, state='ready'):
+    def announce(self, sequence, state='ready', **fields):
         """Send a heartbeat of the backend server; return the response status."""
         body = {'service': SERVICE, 'capacity': 2, 'state': state, 'born': 1000}
         connection = http.client.HTTPConnection(AGENT_HOST, self.http + 1, timeout=1)
         with contextlib.closing(connection):
             connection.request(
-                'PUT', '/instances/i-1', json.dumps({**body, 'sequence': sequence})
+                'PUT',
+                '/instances/i-1',
+                json.dumps({**body, 'sequence': sequence, **fields}),
             )
             return connection.getresponse().status
 
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -6,6 +6,7 @@
 from egretjunction import errors
 from egretjunction.decisions import relay_agent
 from egretjunction.decisions import relay_announcing
+from egretjunction.decisions import relay_cold
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_entry
 from egretjunction.decisions import relay_members
@@ -132,15 +133,23 @@
     return relay_announcing.Announcer('m-1', 'a')
 
 
-def agent(is_known_since_start=True, slots=2):
+def agent(is_known_since_start=True, slots=2, cold_ms=0, **limits):
     """Return the flows of an agent that has received a heartbeat of its server.
 
     :param is_known_since_start: whether that was the first heartbeat of the server.
+    :param cold_ms: how long the server is cold.
+    :param limits: ``over`` and ``slack`` of a limit for the cold server.
     """
     server = relay_server.Server(SERVICE, 1.0)
-    flows = relay_agent.AgentFlows(server, Codec(), MAX_FLOW_SECONDS, announcer())
+    limit = relay_cold.ColdLimit(server.is_cold, **limits)
+    flows = relay_agent.AgentFlows(
+        server, Codec(), MAX_FLOW_SECONDS, announcer(), limit
+    )
     flows.on_heartbeat(
-        heartbeat(sequence=1 if is_known_since_start else 9, slots=slots), 0
+        heartbeat(
+            sequence=1 if is_known_since_start else 9, slots=slots, cold_ms=cold_ms
+        ),
+        0,
     )
     return flows
 
