The end of an evacuation reaches agents before an era has settled

Ruled out: claims of an end without an era that has settled in general, since an entry that never knew the evacuation must not end it.

Change: an entry that has seen the end of an evacuation in the current era tells it at once.

Tests: the new test fails without the change. Tests with processes were added for a slow store and for an end that only the next listing shows; the test of an entry that restarts without the store waits for the restarted process instead of a log line that the former one may have written.

--- a/src/egretjunction/decisions/relay_evacuation.py
+++ b/src/egretjunction/decisions/relay_evacuation.py
@@ -75,6 +75,7 @@
     """
 
     __slots__ = (
+        '_ended_era_by_domain',
         '_eras',
         '_evacuation_by_domain',
         '_is_all_reported',
@@ -88,6 +89,7 @@
     def __init__(self, eras: relay_eras.Eras) -> None:
         self._eras = eras
         self._evacuation_by_domain: dict[str, _Evacuation] = {}
+        self._ended_era_by_domain: dict[str, int] = {}
         self._malformed: set[str] = set()
         self._read_at = (0, 0)
         self._logs: list[effects.Log] = []
@@ -140,7 +142,10 @@
             return Claim(True, *self._read_at)
         if evacuation is not None:
             return Claim(True, evacuation.era, evacuation.revision)
-        if domain in self._malformed or not self.is_read or not self._is_settled(now):
+        is_ended = self._ended_era_by_domain.get(domain) == self._read_at[0]
+        if domain in self._malformed or not self.is_read:
+            return NOTHING_KNOWN
+        if not is_ended and not self._is_settled(now):
             return NOTHING_KNOWN
         return Claim(False, *self._read_at)
 
@@ -211,6 +216,7 @@
         if evacuation is None:
             return
         self.changed.add(domain)
+        self._ended_era_by_domain[domain] = self._read_at[0]
         if evacuation.is_effective:
             self._log('evacuation_ended', domain, source)
 
--- a/tests/decisions/test_relay_evacuation.py
+++ b/tests/decisions/test_relay_evacuation.py
@@ -155,6 +155,17 @@
     assert not known.events(5 + relay_eras.SETTLING_SECONDS)
 
 
+def test_deletion_in_an_unsettled_era_is_told_to_agents_at_once():
+    """Guards against agents that decline for seconds after the end (soak, seed 1)."""
+    known = _Known(is_settled=False)
+    known.list('a')
+    known.change(deleted=['a'])
+    assert known.evacuations.claim('a', 0) == (False, 1, 11)
+    known.record_era(2, 1)
+    known.list(era=2, revision=3, now=1)
+    assert known.evacuations.claim('a', 1) == relay_evacuation.NOTHING_KNOWN
+
+
 def test_entry_that_starts_in_an_unsettled_era_claims_no_end():
     """Guards against agents told of an end by an entry that never knew the start."""
     known = _Known(is_settled=False)
--- a/tests/relay/test_evacuations.py
+++ b/tests/relay/test_evacuations.py
@@ -139,6 +139,31 @@
         assert _is_first_packet_reset(system, 4104)
 
 
+def test_evacuation_takes_effect_in_time_with_a_slow_store(tmp_path):
+    with _running(tmp_path) as (system, state):
+        state.before_response = lambda _path: time.sleep(0.3)
+        written_at = time.monotonic()
+        state.write({KEY: b'{}'}, [])
+        daemons._wait_until(lambda: _evacuated(system, 'agent'))
+        assert time.monotonic() - written_at < BOUND_SECONDS
+
+
+def test_end_that_no_watch_reports_is_read_from_the_next_listing(tmp_path):
+    """Guards against an evacuation kept after the history of its key is gone."""
+    with _running(tmp_path) as (system, state):
+        state.write({KEY: b'{}'}, [])
+        daemons._wait_until(lambda: _evacuated(system, 'agent'))
+        state.status = 503
+        daemons._wait_until(lambda: 'call="watch op/"' in system.log('entry'))
+        with state.changed:
+            state.item_by_key.pop(KEY)
+            state.revision += 5
+            state.oldest_revision = state.revision
+        state.status = 0
+        daemons._wait_until(lambda: not _evacuated(system, 'agent'))
+        assert 'event=history_gone' in system.log('entry')
+
+
 def test_entry_restarted_while_the_store_is_lost_is_not_ready(tmp_path):
     with _running(tmp_path) as (system, state):
         state.write({KEY: b'{}'}, [])
@@ -147,8 +172,12 @@
         system.processes['entry'].kill()
         system.processes['entry'].wait()
         system.start('entry')
-        daemons._wait_until(lambda: 'store_lost' in system.log('entry'))
-        assert system.get('entry', '/readiness', system.http)[0] == 503
+        daemons._wait_until(
+            lambda: b'"ready":false' in system.get('entry', '/status')[1]
+        )
+        until = time.monotonic() + 1
+        while time.monotonic() < until:
+            assert system.get('entry', '/readiness', system.http)[0] == 503
         state.status = 0
         daemons._wait_until(lambda: _evacuated(system, 'entry'))
         assert _is_first_packet_reset(system, 4105)
