The soak asks for evacuations

Change: the operator of the soak begins and ends evacuations of one of two domains, leaves one in force at the end, and opens flows all the while. The logs of the agents tell whether one accepted a flow later than the bound after the key was written, from the first calm moment as for versions.

The soak's backend server answered packets that acknowledge another server's first packet, while the operators' servers bounce them (as the model in tests/decisions/test_relay_machine.py does). With flows opened between restarts, two servers accept one now and then, and the soak then reported "other server" although the relay had asked the right question. It now bounces them.

--- a/tests/relay/soak_timing.py
+++ b/tests/relay/soak_timing.py
@@ -4,6 +4,8 @@
 import re
 
 _EVENT = re.compile(r'event=(\w+) .*?\bat=([\d.]+)(?:.*?\bversion=(\d+))?')
+_AGENT_STARTED = re.compile(r'event=agent_started .*?\bat=([\d.]+)')
+_FLOW_TAKEN = re.compile(r'event=flow_taken .*?\bat=([\d.]+)')
 _VERSION_EVENTS = {'configuration_adopted', 'configuration_replaced'}
 
 
@@ -64,6 +66,25 @@
     return timing
 
 
+def check_evacuation(text, begun_at, until, spans, bound_seconds):
+    """Check that an agent accepts no flow from the bound on until a moment.
+
+    Returns whether anything was checked, and the times of flows accepted too late.
+
+    :param text: log of the agent.
+    :param begun_at: the time of the write of the key.
+    :param until: end of the evacuation, or of its key, which a restore took away.
+    :param spans: outages of the store and pauses of processes.
+    :param bound_seconds: time within which an evacuation must be in force.
+    """
+    starts = [float(match[1]) for match in _AGENT_STARTED.finditer(text)]
+    calm_at = _calm_moment(begun_at, starts, spans, bound_seconds)
+    if calm_at is None or calm_at + bound_seconds >= until:
+        return False, []
+    taken = [float(match[1]) for match in _FLOW_TAKEN.finditer(text)]
+    return True, [at for at in taken if calm_at + bound_seconds < at < until]
+
+
 def _calm_moment(confirmed_at, starts, spans, bound_seconds):
     candidates = [confirmed_at, *starts, *(end for _, end in spans)]
     for moment in sorted(candidates):
--- a/tests/relay/soak_traffic.py
+++ b/tests/relay/soak_traffic.py
@@ -24,6 +24,9 @@
 class Server:
     """A backend server that accepts every flow and answers every request.
 
+    It bounces packets that acknowledge the first packet of another server: when two
+    servers accept a flow, its client has opened one of them.
+
     :param address: its UDP address.
     :param outbound: address of its agent for packets that it sends or bounces.
     :param number: identifies the server in answers.
@@ -39,11 +42,12 @@
     def receive(self):
         """Handle one packet."""
         raw = self.socket.recv(2048)
-        source, route, flags, sequence, _, body = _decode(raw)
+        source, route, flags, sequence, acknowledged, body = _decode(raw)
+        is_own = acknowledged == self.number * 1000 + 1
         if flags & SYN:
             self._sources.add(source)
             self._send(source, route, SYN | ACK, self.number * 1000, sequence + 1)
-        elif source not in self._sources:
+        elif source not in self._sources or not is_own:
             bounced = bytearray(raw)
             bounced[22] |= BOUNCED
             bounced[23:28] = bytes(5)
--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -20,13 +20,15 @@
 import time
 
 from tests.platform import store_standin
+from tests.relay import soak_evacuation
 from tests.relay import soak_timing
 from tests.relay import soak_traffic
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 SERVICE = 'soaked'
 START_SECONDS = 15
-QUIET_SECONDS = 6  # at the end: the outage's aftermath, then the bound
+QUIET_SECONDS = 8  # at the end: the outage's aftermath, then the bound
+LAST_OUTAGE_SECONDS = 2.2
 BOUND_SECONDS = 3.0
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
@@ -43,6 +45,7 @@
         network = 1 if role == 'entry' else 2
         self.host = f'127.{soak.network}.{network}.{number}'
         self.role = role
+        self.domain = soak_evacuation.domain_of(role, number)
         self.name = f'{role}-{number}'
         self.log_path = soak.folder / f'{self.name}.log'
         self._settings_path = soak.folder / f'{self.name}.ini'
@@ -59,7 +62,8 @@
             f'announcements = {self.host}:{ANNOUNCEMENTS}\nheartbeat_ms = 500\n',
         }
         return (
-            f'[relay-{self.role}]\nname = {self.name}\ndomain = a\n{own[self.role]}'
+            f'[relay-{self.role}]\nname = {self.name}\n'
+            f'domain = {self.domain}\n{own[self.role]}'
             f'ready = {self.host}:{READY}\nmetrics = {self.host}:{METRICS}\n'
             f'platform = {soak.store}\ngrace_seconds = 6\nmax_flow_seconds = 60\n'
         )
@@ -115,6 +119,7 @@
         self.violations = []
         self.confirmed = []
         self.copies = []
+        self.evacuations = soak_evacuation.Evacuations()
         self.events = []
         self.timing = soak_timing.Timing(0, [], 0.0)
         self._spans_by_entry = collections.defaultdict(list)
@@ -167,6 +172,7 @@
         self.clients.open(10 * len(self.agents))
         begun_at = time.monotonic()
         next_at = begun_at + 1
+        self._later(seconds + LAST_OUTAGE_SECONDS, self._evacuate)
         while (elapsed := time.monotonic() - begun_at) < seconds + QUIET_SECONDS:
             if elapsed < seconds and time.monotonic() >= next_at:
                 self._disturb()
@@ -196,8 +202,10 @@
         self.events.append((time.monotonic() + seconds, action))
 
     def _disturb(self):
+        self.clients.open(len(self.agents))
         actions = [
             (self._confirm, 6),
+            (lambda: self.evacuations.toggle(self.state), 1),
             (self._restore, 3),
             (self._fail_store, 1),
             (lambda: self._signal(signal.SIGKILL), 2),
@@ -217,6 +225,12 @@
         self.confirmed.append((time.time(), self._version))
         self.copies.append((time.monotonic(), self.state.copy()))
 
+    def _evacuate(self):
+        """Leave an evacuation in force at the end of the run, under new flows."""
+        self.evacuations.begin(self.state)
+        for number in range(10):
+            self._later(BOUND_SECONDS + number / 5, lambda: self.clients.open(2))
+
     def _write_newest(self, version):
         route = {'name': 'r', 'host': soak_traffic.ROUTE[0]}
         route |= {'prefix': f'/{soak_traffic.ROUTE[1]}/', 'service': SERVICE}
@@ -241,6 +255,7 @@
             self.copies[0]
         ]
         self._restores += 1
+        self.evacuations.record_restore()
         self.state.restore((copy[0], dict(copy[1]), dict(copy[2])))
 
     def _fail_store(self):
@@ -264,6 +279,7 @@
     def _write_again(self):
         if not self.state.status and not self.state.is_silent:
             self._write_newest(self.confirmed[-1][1])
+            self.evacuations.write(self.state)
 
     def _signal(self, number):
         process = self.draw.choice([*self.entries, *self.agents])
@@ -325,6 +341,9 @@
             BOUND_SECONDS,
         )
         self.violations += self.timing.late
+        self.violations += self.evacuations.check(
+            self.agents, self._spans_by_entry, self.entries[0].name, BOUND_SECONDS
+        )
 
     def summary(self):
         """Return what happened, in one line."""
@@ -332,7 +351,8 @@
             f'{len(self.confirmed)} versions, {self._restores} restores, '
             f'{self.clients.answers} answers, {self.clients.unanswered} unanswered, '
             f'{self.clients.unopened} unopened, {self.timing.checked} checks of '
-            f'versions, slowest {self.timing.slowest:.2f} s'
+            f'versions, slowest {self.timing.slowest:.2f} s, '
+            f'{self.evacuations.checked} checks of evacuations'
         )
 
 
--- a/tests/relay/test_soak_timing.py
+++ b/tests/relay/test_soak_timing.py
@@ -44,3 +44,14 @@
     lines = [START, restart, _adopted(113.5, 5)]
     assert not _check(lines).late
     assert _check([START, _adopted(110.5, 5), restart]).late
+
+
+def test_flow_accepted_after_the_bound_of_an_evacuation_is_found():
+    """Guards against a check of evacuations that finds nothing."""
+    text = 'event=agent_started at=1.0\n' + ''.join(
+        f'event=flow_taken role=agent at={at} flow=x\n'
+        for at in (9.0, 14.9, 15.1, 21.0)
+    )
+    assert soak_timing.check_evacuation(text, 10, 20, [], 5) == (True, [15.1])
+    assert soak_timing.check_evacuation(text, 10, 14, [], 5) == (False, [])
+    assert soak_timing.check_evacuation(text, 10, 20, [(12, 15)], 5) == (False, [])
