--- a/src/egretjunction/decisions/load/backlog.py
+++ b/src/egretjunction/decisions/load/backlog.py
@@ -24,7 +24,7 @@
 MILLISECONDS_PER_SECOND = 1_000
 COLD_GAIN = 0.125  # weight of the newest duration in the slowdown of a cold server
 REQUESTS_PER_DECAY = 32  # the shares of all routes are halved after as many answers
-WAIT_VALID_SECONDS = 0.005  # small against the delay of a status; bounds its cost
+RATE_VALID_SECONDS = 0.005  # small against the delay of a status; bounds its cost
 MAX_COUNTED_SINGLY = 8  # queued requests; bounds the cost of a status
 
 _Route = durations.RouteDurations
@@ -47,6 +47,8 @@
         '_failed_at_by_key',
         '_last_event_at',
         '_queued_by_key',
+        '_rate',
+        '_rate_valid_until',
         '_route_by_key',
         '_route_by_name',
         '_route_of',
@@ -56,8 +58,6 @@
         '_stray_by_key',
         '_typical_seconds',
         '_untimed_keys',
-        '_wait_seconds',
-        '_wait_valid_until',
         'outcomes',
         'request_ms',
     )
@@ -80,8 +80,8 @@
         self._typical_seconds = float(0)
         self._completions = 0
         self._slowdown = float(1)
-        self._wait_seconds = float(0)
-        self._wait_valid_until = float(0)
+        self._rate = float(0)  # at which running requests end, per second
+        self._rate_valid_until = float(0)
         self.request_ms = 0
         self.outcomes = outcomes.Outcomes()
 
@@ -110,6 +110,7 @@
             route = self._assign_route(key)
         if len(self._started_by_key) < self._slots:
             self._started_by_key[key] = now
+            self._rate_valid_until = now
         else:
             self._queued_by_key[key] = route
 
@@ -118,6 +119,7 @@
         if now - self._last_event_at > MIN_PAUSE_SECONDS:
             self._discount_pause(now)
         self._last_event_at = now
+        self._rate_valid_until = now
         started_at = self._started_by_key.pop(key, None)
         if started_at is None:
             started_at = self._stray_by_key.pop(key, None)
@@ -196,7 +198,7 @@
     ) -> float | None:
         """Return the expected time until a new request starts, None if unknown.
 
-        It is 0 while a slot is free, and otherwise up to ``WAIT_VALID_SECONDS`` old.
+        It is 0 while a slot is free.
 
         :param reserved_keys: flows whose first request is expected.
         :param now: the time in seconds.
@@ -209,10 +211,7 @@
             self._update_figures(now)
             if not self._typical_seconds:
                 return None
-        if now >= self._wait_valid_until:
-            self._wait_seconds = self._compute_wait(reserved_keys, now)
-            self._wait_valid_until = now + WAIT_VALID_SECONDS
-        return self._wait_seconds
+        return self._compute_wait(reserved_keys, now)
 
     def _compute_wait(
         self, reserved_keys: typing.Collection[bytes], now: float
@@ -223,7 +222,10 @@
         expected remaining durations would take if they ended at random.
         """
         unused_slots = self._slots - len(self._started_by_key)
-        slots_per_second = self._departure_rate(now)
+        if now >= self._rate_valid_until:
+            self._rate = self._departure_rate(now)
+            self._rate_valid_until = now + RATE_VALID_SECONDS
+        slots_per_second = self._rate
         ahead_seconds = float(0)
         waiting = itertools.chain(self._queued_by_key, reserved_keys)
         for key in itertools.islice(waiting, MAX_COUNTED_SINGLY):
@@ -325,6 +327,7 @@
             key = next(iter(queued_by_key))
             queued_by_key.pop(key)
             self._started_by_key[key] = now
+            self._rate_valid_until = now
 
     def _complete_queued(self, key: bytes, now: float) -> bool:
         """Remove a request that was answered though the model has it queued.
@@ -341,6 +344,7 @@
         return True
 
     def _forget_request(self, key: bytes) -> None:
+        self._rate_valid_until = self._last_event_at
         self._started_by_key.pop(key, None)
         self._queued_by_key.pop(key, None)
         self._stray_by_key.pop(key, None)
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -250,6 +250,25 @@
     assert system.client_socket.recv(2048) == response
 
 
+def test_agent_shows_its_estimates(running):
+    """Guards against an agent that learns durations and shows them nowhere."""
+    system, _ = running
+    system.open(4010)
+    system.send(4010, ACK, 101, 501, b'x')
+    system.server_socket.recv(2048)
+    system.answer(4010, ACK, 501, b'y' * 100)
+    system.client_socket.recv(2048)
+
+    def shown():
+        return json.loads(system.get('agent', '/status')[1])
+
+    _wait_until(lambda: shown()['request_ms'] > 0)
+    assert (shown()['wait_ms'], shown()['failure_percent']) == (0, 0)
+    text = system.get('agent', '/metrics')[1].decode()
+    for name in ('request_ms', 'wait_ms', 'failure_percent'):
+        assert f'egretjunction_{name}{{' in text
+
+
 def test_flow_survives_restart_of_entry_and_agent(running):
     system, _ = running
     system.open(4002)
