Estimates of a server without requests return to the lasting mean

Ruled out: leaving it to probes of entries alone, since an agent can tell that its figure is old.

Change: while no request runs, a mean that rose returns to the mean of about a minute, with a time constant of 1 s.

Tests: placing with a server that slows down and recovers, with a route whose cost changes tenfold at once, and with restarted agents.

--- a/src/egretjunction/decisions/load/backlog.py
+++ b/src/egretjunction/decisions/load/backlog.py
@@ -24,6 +24,7 @@
 MILLISECONDS_PER_SECOND = 1_000
 COLD_GAIN = 0.125  # weight of the newest duration in the slowdown of a cold server
 REQUESTS_PER_DECAY = 32  # the shares of all routes are halved after as many answers
+RELAX_SECONDS = 1.0  # without requests, until a risen mean is close to the lasting one
 RATE_VALID_SECONDS = 0.005  # small against the delay of a status; bounds its cost
 MAX_COUNTED_SINGLY = 8  # queued requests; bounds the cost of a status
 
@@ -185,6 +186,8 @@
         """Count requests as failed that are overdue, and update all figures."""
         if now - self._last_event_at > MIN_PAUSE_SECONDS:
             self._discount_pause(now)
+        elif not self._started_by_key:
+            self._relax((now - self._last_event_at) / RELAX_SECONDS)
         self._last_event_at = now
         for started_by_key in (self._started_by_key, self._stray_by_key):
             for key, started_at in started_by_key.items():
@@ -256,6 +259,10 @@
             rate += 1 / (remaining + durations.MIN_SECONDS)
         return rate
 
+    def _relax(self, share: float) -> None:
+        for route in self._route_by_name.values():
+            route.relax(share)
+
     def _update_figures(self, now: float) -> None:
         """Compute the figures of the server as a whole."""
         self._update_typical()
--- a/src/egretjunction/decisions/load/durations.py
+++ b/src/egretjunction/decisions/load/durations.py
@@ -11,6 +11,7 @@
 OBSERVATIONS_AT_SLOWEST_GAIN = 15
 RECENT_GAIN = 1 / 3  # weight of the newest duration in the mean that detects changes
 OUTLIER_MULTIPLE = 4.0  # longest duration in that mean; one request is no change
+LASTING_GAIN = 0.016  # weight of the newest duration in the mean of about a minute
 CHANGE_FACTOR = 2.0  # between the two means; from here on the mean starts anew
 OBSERVATIONS_AFTER_CHANGE = 3  # weight of the recent mean when the mean starts anew
 HISTOGRAM_SHARE_AFTER_CHANGE = 0.25
@@ -39,6 +40,7 @@
     """
 
     __slots__ = (
+        '_lasting_seconds',
         '_observations',
         '_recent_seconds',
         '_remaining_by_edge',
@@ -51,6 +53,7 @@
     def __init__(self) -> None:
         self.mean_seconds = float(0)
         self._recent_seconds = float(0)
+        self._lasting_seconds = float(0)
         self._observations = 0
         self.share = float(0)
         self._weight_by_bucket = [float(0) for _ in _MIDDLES]
@@ -66,6 +69,7 @@
             self._update_means(seconds)
         else:
             self._recent_seconds = seconds
+            self._lasting_seconds = seconds
             self.mean_seconds = seconds
         self._observations += 1
         bucket = int(_log2(seconds / self.mean_seconds) * BUCKETS_PER_OCTAVE + _OFFSET)
@@ -78,6 +82,18 @@
         if self._unread_observations >= OBSERVATIONS_PER_REBUILD:
             self._rebuild()
 
+    def relax(self, share: float) -> None:
+        """Let a mean that rose lately return to that of a longer time.
+
+        A server that was slow may get no requests from which to learn that it is not
+        any more.
+
+        :param share: of the difference that is given up.
+        """
+        lasting = self._lasting_seconds
+        self.mean_seconds -= share * max(float(0), self.mean_seconds - lasting)
+        self._recent_seconds -= share * max(float(0), self._recent_seconds - lasting)
+
     def remaining_seconds(self, elapsed_seconds: float) -> float:
         """Return the expected remaining duration of a request.
 
@@ -113,6 +129,7 @@
             seconds = recent * OUTLIER_MULTIPLE
         recent += RECENT_GAIN * (seconds - recent)
         self._recent_seconds = recent
+        self._lasting_seconds += LASTING_GAIN * (seconds - self._lasting_seconds)
         if recent > CHANGE_FACTOR * mean or mean > CHANGE_FACTOR * recent:
             mean = recent
             self._observations = OBSERVATIONS_AFTER_CHANGE
--- a/tests/decisions/load/placing.py
+++ b/tests/decisions/load/placing.py
@@ -65,7 +65,7 @@
     ]
 
 
-def play(score, seed, load, routes, members, *, is_limited=False):
+def play(score, seed, load, routes, members, *, is_limited=False, changes=()):
     """Place requests at random times; return the simulation.
 
     :param score: policy; the server with the lowest score gets a request.
@@ -73,6 +73,7 @@
     :param routes: mean work and share of each route.
     :param is_limited: whether servers with more requests than an agent accepts get
         none while another one has room.
+    :param changes: ``(seconds, action)`` after the warm-up.
     """
     rng = random.Random(seed)
     ties = random.Random(seed + 1)
@@ -99,6 +100,8 @@
     simulation.at(0, arrive)
     simulation.run(WARM_UP_SECONDS)
     simulation.response_seconds.clear()
+    for when, change in changes:
+        simulation.at(WARM_UP_SECONDS + when, change)
     simulation.run(WARM_UP_SECONDS + SECONDS)
     return simulation
 
--- a/tests/decisions/load/test_backlog.py
+++ b/tests/decisions/load/test_backlog.py
@@ -125,6 +125,19 @@
     assert server.backlog.request_ms < 2 * before
 
 
+def test_server_that_was_slow_and_gets_no_requests_is_tried_again():
+    """Guards against a server that gets no requests after it was slow for seconds."""
+    estimated, now = _train(count=100)
+    for number in range(200, 206):
+        _serve(estimated, _key(number), now, now + 0.4)
+        now += 0.4
+    assert estimated.request_ms > 200
+    for _ in range(120):
+        now += servers.TICK_SECONDS
+        estimated.tick(now)
+    assert estimated.request_ms < 100
+
+
 def test_durations_across_a_pause_of_the_agent_are_not_learned():
     """Guards against a slow estimate after the agent itself was paused for 3 s."""
     estimated, now = _train()
--- a/tests/decisions/load/test_placing.py
+++ b/tests/decisions/load/test_placing.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.decisions.load import placing
+from tests.decisions.load import servers
 
 SEEDS = range(2)
 
@@ -76,3 +77,55 @@
     assert sent_count == pytest.approx(
         len(least.response_seconds), abs=placing.SERVER_COUNT * placing.SLOTS * 2
     )
+
+
+def _mean_with_changes(score, seed, load, make_changes, routes=placing.ROUTES):
+    members = placing.build((1.0,))
+    routes = dict(routes)
+    played = placing.play(
+        score, seed, load, routes, members, changes=make_changes(members, routes)
+    )
+    return statistics.mean(played.response_seconds)
+
+
+def _slow_down(members, _routes):
+    """Let two servers be 8 times slower for 3 s."""
+
+    def set_speed(speed):
+        for server in members[:2]:
+            server.speed = speed
+
+    return [(2, lambda: set_speed(1 / 8)), (5, lambda: set_speed(1.0))]
+
+
+def _make_dear(_members, routes):
+    """Let the requests of one route cost a tenth, and then again ten times that."""
+    return [
+        (3, lambda: routes.update({b'status': (0.0053, 0.78)})),
+        (6, lambda: routes.update({b'status': (0.053, 0.78)})),
+    ]
+
+
+def _restart_agents(members, _routes):
+    """Replace what half of the agents have learned; requests go on."""
+
+    def forget():
+        for server in members[::2]:
+            fresh = servers.Server(server.slots)
+            server.backlog = fresh.backlog
+
+    return [(2, forget), (5, forget)]
+
+
+@pytest.mark.parametrize(
+    ('make_changes', 'bound'),
+    [(_slow_down, 1.0), (_make_dear, 1.1), (_restart_agents, 1.1)],
+)
+def test_placement_after_a_change_is_no_worse_than_by_connections(make_changes, bound):
+    """Guards against estimates that are worse than none while they are wrong."""
+    ratios = []
+    for seed in range(3):
+        estimated = _mean_with_changes(placing.estimates(0.5), seed, 0.7, make_changes)
+        least = _mean_with_changes(placing.least_connections, seed, 0.7, make_changes)
+        ratios.append(estimated / least)
+    assert statistics.mean(ratios) < bound, ratios
