Shares of routes follow their demand, and late answers are avoided with a margin

First packets that waited for as long as the target allows were answered just after it.

Accepted first packets count. Within their shares, routes of equal value go by the part that they have not used. A request counts as able to meet its target if four durations are left, and at least half of the target.

--- a/src/egretjunction/decisions/load/placing.py
+++ b/src/egretjunction/decisions/load/placing.py
@@ -110,7 +110,6 @@
     def record_offer(
         self,
         token: int,
-        offer: relay_pending.Offer,
         member: relay_members.Member,
         now: float,
     ) -> None:
@@ -120,14 +119,13 @@
         self._member_by_token[token] = member
         self._unanswered_names_by_token.setdefault(token, set()).add(member.name)
         self._members.index.refresh(member)
-        self.queue.record_offered(offer, now)
 
     def record_accepted(
         self, offer: relay_pending.Offer, member: relay_members.Member, now: float
     ) -> None:
         """Record that a member accepted a first packet."""
         self.outliers.record_outcome(member.name, now, is_failed=False)
-        self.queue.record_accepted(offer.service, now)
+        self.queue.record_accepted(offer, now)
 
     def record_passed(
         self,
--- a/src/egretjunction/decisions/load/queueing.py
+++ b/src/egretjunction/decisions/load/queueing.py
@@ -15,6 +15,9 @@
 
 MAX_PASSED_OVER = 8  # starts of other routes until a waiting route is served
 VALUE_RATIO = 0.5  # value of a request relative to one of the next higher priority
+# Durations vary, and a final offer may find another request in the server's queue. With
+# less, the first packets that wait longest are all answered just after their target.
+DURATION_MARGIN = 4
 MIN_COMPACTED = 64  # entries of a heap; smaller ones are not worth the work
 
 _Heap = list[tuple[float, int, 'relay_pending.Offer']]
@@ -110,12 +113,12 @@
         :param now: the time in seconds.
         """
         heads: list[tuple[_Rank, relay_pending.Offer]] = []
-        for route, lane in self._lane_by_route.items():
+        for lane in self._lane_by_route.values():
             self._move_late(lane, duration, now)
             on_time = self._head(lane.on_time)
             head = on_time or self._head(lane.late)
             if head is not None:
-                rank = self._rank(route, lane, head, is_late=on_time is None)
+                rank = self._rank(lane, head, now, is_late=on_time is None)
                 heads.append((rank, head))
         if not heads:
             return None
@@ -123,7 +126,7 @@
         return self._ticket_by_offer[chosen].token, chosen
 
     def record_start(self, offer: 'relay_pending.Offer', now: float) -> None:
-        """Charge the route of a first packet that is offered while others wait."""
+        """Count a first packet that was accepted in the share of its route."""
         self.shares.record_start(offer.route, now)
         for route, lane in self._lane_by_route.items():
             is_waiting = route != offer.route and (
@@ -157,9 +160,9 @@
 
     def _rank(
         self,
-        route: str,
         lane: _Lane,
         head: 'relay_pending.Offer',
+        now: float,
         *,
         is_late: bool,
     ) -> _Rank:
@@ -168,13 +171,14 @@
         Servers report one duration for all routes of a service, so that value over
         likely work is in the order of the value.
         """
-        is_within = self.shares.is_within(route)
-        value = VALUE_RATIO**lane.priority if is_within else 0
+        is_within = self.shares.is_within(head.route, now)
+        value = VALUE_RATIO**lane.priority
         arrival = -head.last_seen_at if is_late else head.started_at
         group = 2 * is_late + (not is_within)
         if lane.passed_over >= MAX_PASSED_OVER:
             group = -1
-        return group, -value, self.shares.start_tag(route), arrival
+        unused = self.shares.unused_share(head.route, now)
+        return group, -value, -unused, arrival
 
     def _move_late(self, lane: _Lane, duration: float, now: float) -> None:
         """Move first packets that can no longer meet their target to the late ones."""
@@ -222,10 +226,13 @@
 ) -> bool:
     """Tell whether a request that starts now can be answered within its target.
 
+    At most half of the target may be spent waiting even if requests seem short, so
+    that a duration that was estimated too short does not make all answers late.
+
     :param offer: the waiting first packet.
     :param duration: likely duration of the request, 0 if unknown.
     :param now: the time in seconds.
     """
-    if duration <= 0:
-        return relay_waiting.can_meet_target(offer, now)
-    return now + duration <= offer.started_at + offer.target_seconds
+    needed_seconds = duration * DURATION_MARGIN
+    latest = offer.started_at + offer.target_seconds - needed_seconds
+    return now <= latest and relay_waiting.can_meet_target(offer, now)
--- a/src/egretjunction/decisions/load/waiting.py
+++ b/src/egretjunction/decisions/load/waiting.py
@@ -88,15 +88,14 @@
         duration = self._duration_of(service, now)
         return self._queue_by_service[service].next_offer(duration, now)
 
-    def record_offered(self, offer: relay_pending.Offer, now: float) -> None:
-        """Charge the route of a first packet that is offered while others wait."""
-        if self.has_waiting(offer.service):
-            self._queue_by_service[offer.service].record_start(offer, now)
-
-    def record_accepted(self, service: str, now: float) -> None:
-        """Record that an agent accepted a first packet of a service."""
-        self._queue(service)
-        self._rate_by_service[service].record_start(now)
+    def record_accepted(self, offer: relay_pending.Offer, now: float) -> None:
+        """Record that an agent accepted a first packet.
+
+        Offers do not count in the share of a route, since many are declined while
+        several entries compete for the same slot.
+        """
+        self._queue(offer.service).record_start(offer, now)
+        self._rate_by_service[offer.service].record_start(now)
 
     def record_pause(self) -> None:
         """Discard all observations, since the entry was paused."""
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -332,7 +332,7 @@
         member.record_request(now)
         member.offered_flows += 1
         if self._placer is not None:
-            self._placer.record_offer(token, offer, member, now)
+            self._placer.record_offer(token, member, now)
         message = relaying.Offer(
             token,
             relaying.compute_service_tag(offer.service),
