config check: a report of findings with rules, levels and places

The check printed the errors of the reader and nothing about entries that the daemons take and cannot use, such as shares behind a pattern that covers them, a service without servers, or retries that cannot fit the deadline.

Findings of level error come from the daemons' reader alone, so that both cannot disagree; warnings compare patterns with each other.

--- a/src/egretjunction/_config_cli.py
+++ b/src/egretjunction/_config_cli.py
@@ -6,15 +6,16 @@
 
 import typer
 
+from egretjunction import _check_cli
 from egretjunction import _config_options as options
 from egretjunction import _evacuation_cli
 from egretjunction import document_changes
+from egretjunction import document_report
 from egretjunction import evacuations
 from egretjunction import logs
 from egretjunction import operators
 from egretjunction import platform
 from egretjunction import settings
-from egretjunction.decisions import configuration
 from egretjunction.decisions import document
 from egretjunction.decisions import evacuation
 
@@ -23,24 +24,11 @@
     help='Check, apply and inspect the configuration document.',
 )
 
-DocumentPath = typing.Annotated[
-    str, typer.Argument(help='Configuration document, an INI file.')
-]
-
 
 def _load_document(path: str) -> document.Document:
     return document.parse(settings.read_text(path), path)
 
 
-@app.command()
-def check(path: DocumentPath, *, as_json: options.AsJson = False) -> None:
-    """Validate a document without the platform and report all errors."""
-    parsed = _load_document(path)
-    counts = {'services': len(parsed.services), 'teams': len(parsed.teams)}
-    text = f'{path}: {counts["services"]} services, {counts["teams"]} teams, no errors'
-    options.print_value(counts, as_json, text)
-
-
 @app.command()
 def show(url: options.Url, *, as_json: options.AsJson = False) -> None:
     """Print the accepted document."""
@@ -51,21 +39,12 @@
 
 @app.command()
 def diff(
-    path: DocumentPath, url: options.Url, *, as_json: options.AsJson = False
+    path: options.DocumentPath, url: options.Url, *, as_json: options.AsJson = False
 ) -> None:
     """Show the difference between the accepted document and another one."""
     wanted = _load_document(path)
     accepted = asyncio.run(operators.read(platform.Platform(url)))
-    # Like apply, which leaves evacuations as they are.
-    after = evacuation.with_evacuations_of(wanted, accepted.document).sections
-    before = accepted.document.sections
-    changed = configuration.difference(before, after)
-    diff_by_section = {
-        name: configuration.section_diff(
-            name, before.get(name, ''), after.get(name, '')
-        )
-        for name in changed
-    }
+    diff_by_section = document_report.differences(wanted, accepted.document)
     options.print_value(
         diff_by_section, as_json, '\n'.join(diff_by_section.values()) or 'no difference'
     )
@@ -73,7 +52,7 @@
 
 @app.command()
 def apply(
-    path: DocumentPath,
+    path: options.DocumentPath,
     url: options.Url,
     who: options.Who,
     team: options.Team,
@@ -170,6 +149,7 @@
     options.print_value(recent, as_json, '\n'.join(lines) or 'no changes yet')
 
 
+app.command()(_check_cli.check)
 app.command()(_evacuation_cli.evacuate)
 app.command()(_evacuation_cli.restore)
 app.command()(_evacuation_cli.status)
--- a/src/egretjunction/_config_options.py
+++ b/src/egretjunction/_config_options.py
@@ -11,6 +11,9 @@
 from egretjunction import settings
 from egretjunction.decisions import document
 
+DocumentPath = typing.Annotated[
+    str, typer.Argument(help='Configuration document, an INI file.')
+]
 Url = typing.Annotated[
     str,
     typer.Option('--platform', help="Base URL of the platform's key-value service."),
--- a/src/egretjunction/_ini.py
+++ b/src/egretjunction/_ini.py
@@ -49,8 +49,8 @@
 
 # A document has thousands of sections of the same type.
 @functools.cache
-def _fields_of(struct_type: type) -> tuple[msgspec.structs.FieldInfo, ...]:
-    return msgspec.structs.fields(struct_type)
+def _fields_of(struct_type: type) -> dict[str, msgspec.structs.FieldInfo]:
+    return {field.name: field for field in msgspec.structs.fields(struct_type)}
 
 
 def _split_list(raw: str) -> list[str]:
@@ -125,19 +125,11 @@
         raw_by_key = dict(self.parser.items(section))
         error_count_before = len(self.collected_errors)
         value_by_name = dict(preset)
-        fields = {
-            field.name: field
-            for field in _fields_of(struct_type)
-            if field.name not in preset
-        }
+        fields = _fields_of(struct_type)
         for name, field in fields.items():
-            self._read_field(section, raw_by_key, field, value_by_name, name)
-        for key in raw_by_key:
-            if key not in fields:
-                known = ', '.join(sorted(fields))
-                allowed = f'one of {known}' if known else 'no keys'
-                given = raw_by_key[key]
-                self.add_error(section, key, given, allowed, 'unknown-key')
+            if name not in preset and (name in raw_by_key or field.required):
+                self._read_field(section, raw_by_key, field, value_by_name, name)
+        self._add_unknown_keys(section, raw_by_key, set(fields) - set(preset))
         if len(self.collected_errors) > error_count_before:
             return None
         return struct_type(**value_by_name)
@@ -153,6 +145,15 @@
                 self.collected_errors,
             )
 
+    def _add_unknown_keys(
+        self, section: str, raw_by_key: dict[str, str], known_keys: set[str]
+    ) -> None:
+        for key, given in raw_by_key.items():
+            if key not in known_keys:
+                known = ', '.join(sorted(known_keys))
+                allowed = f'one of {known}' if known else 'no keys'
+                self.add_error(section, key, given, allowed, 'unknown-key')
+
     def _read_field(
         self,
         section: str,
@@ -162,9 +163,8 @@
         name: str,
     ) -> None:
         if name not in raw_by_key:
-            if field.required:
-                allowed = f'a value for "{name}"'
-                self.add_error(section, name, 'nothing', allowed, 'missing-key')
+            allowed = f'a value for "{name}"'
+            self.add_error(section, name, 'nothing', allowed, 'missing-key')
             return
         raw = raw_by_key[name]
         try:
--- a/src/egretjunction/_ini_lines.py
+++ b/src/egretjunction/_ini_lines.py
@@ -20,7 +20,7 @@
         for number, line in enumerate(text.splitlines(), start=1):
             stripped = line.strip()
             if stripped.startswith('['):
-                section = stripped[1:-1]
+                section = stripped.removeprefix('[').rpartition(']')[0]
                 self._line_by_key[section, _SECTION_LINE] = number
             elif section:
                 match = _KEY.match(stripped)
--- a/src/egretjunction/decisions/document.py
+++ b/src/egretjunction/decisions/document.py
@@ -30,7 +30,7 @@
 PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=SECONDS_PER_DAY)]
 Percent = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
-_SHARE_PERCENT = re.compile('0*(100|[0-9]{1,2})')
+_SHARE_PERCENT = re.compile('[0-9]{1,9}')
 # Prefix of the section header, type of the section, and where it is kept by name.
 _Kinds = tuple[tuple[str, type, dict[str, typing.Any]], ...]
 
@@ -323,7 +323,8 @@
 ) -> None:
     for share in service.shares:
         percent = share.rpartition(':')[2]
-        if ':' not in share or not _SHARE_PERCENT.fullmatch(percent):
+        is_pair = ':' in share and _SHARE_PERCENT.fullmatch(percent) is not None
+        if not is_pair or int(percent) > FULL_SHARE_PERCENT:
             allowed = 'pattern:percent pairs such as bookings-1:50, percent up to 100'
             reader.add_error(section, 'shares', share, allowed, 'shares')
 
--- a/tests/decisions/test_document.py
+++ b/tests/decisions/test_document.py
@@ -46,7 +46,7 @@
 @pytest.mark.parametrize(
     ('before', 'after', 'line'),
     [
-        ('[service bookings]', '[service bookings] # ours', 0),
+        ('[service bookings]', '[service bookings] # ours', 4),
         ('feed_paths', '  [service surveys]\nfeed_paths', 8),
         ('feed_paths', 'feed_paths = /a\x0c[service surveys]\nlarge', 9),
     ],
