--- a/src/egretjunction/decisions/relay_candidates.py
+++ b/src/egretjunction/decisions/relay_candidates.py
@@ -169,7 +169,5 @@
     has_started = (
         after.state == relaying.State.STARTING and before.state != after.state
     ) or (before.state == relaying.State.GONE and after.state != before.state)
-    knows_less = (
-        before.knows_all_flows and not after.knows_all_flows
-    ) or after.known_seconds < before.known_seconds
+    knows_less = before.knows_all_flows and not after.knows_all_flows
     return has_started or knows_less or after.cold_ms > before.cold_ms + COLD_MARGIN_MS
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -52,8 +52,6 @@
         unknown.
     :param request_ms: typical duration of a request, 0 if unknown.
     :param failure_percent: share of recent flows that failed.
-    :param known_seconds: for how long it has known every flow of its backend server,
-        0 if it does not.
     """
 
     state: State
@@ -68,7 +66,6 @@
     wait_ms: int = NO_ESTIMATE
     request_ms: int = 0
     failure_percent: int = 0
-    known_seconds: int = 0
 
 
 class Offer(msgspec.Struct, array_like=True, tag=1):
