Tests of early resets collect those after a client's packet too

Cause: the two tests looked at the resets of timers only.

Ruled out: looking at timers alone with other times, since a first packet can be rejected by any newcomer.

Change: both tests collect the resets of client packets as well, and are stricter.

Tests: with Placer.may_reset always true, the test fails now; with observations kept over a pause, test_nothing_is_reset_early_after_a_start_or_a_pause fails.

--- a/tests/decisions/load/test_placing.py
+++ b/tests/decisions/load/test_placing.py
@@ -275,8 +275,9 @@
     for step in range(300):
         now = step * 0.004
         _report(flows, member, now, work=2, request_ms=20, wait_ms=40)
-        flows.on_client_packet(build.first_packet(build.flow_key(step)), now)
-        emitted = flows.tick(now, stalled_seconds=0.3 if step % 200 == 0 else 0)
+        packet = build.first_packet(build.flow_key(step))
+        emitted = flows.on_client_packet(packet, now)
+        emitted += flows.tick(now, stalled_seconds=0.3 if step % 200 == 0 else 0)
         assert not build.of_type(emitted, effects.Reset), now
 
 
@@ -290,7 +291,8 @@
     for step in range(1, 300):
         now = 0.07 + step * 0.004
         _report(flows, busy, now, work=2, request_ms=20, wait_ms=40)
-        flows.on_client_packet(build.first_packet(build.flow_key(step)), now)
-        resets += build.of_type(flows.tick(now), effects.Reset)
+        packet = build.first_packet(build.flow_key(step))
+        emitted = flows.on_client_packet(packet, now) + flows.tick(now)
+        resets += build.of_type(emitted, effects.Reset)
     assert resets
     assert build.flow_key(0) not in {reset.key for reset in resets}
