--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -193,6 +193,7 @@
         """Send a FIN."""
         if self.state in ('idle', 'asking'):
             self.send(packet.ACK | packet.FIN)
+            self.seq = (self.seq + 1) % packet.RANGE
             self.state = 'ended'
 
     def receive(self, received, now):
@@ -210,6 +211,8 @@
         elif received.data and received.seq == self.ack:
             self._on_answer(received, now)
         elif received.data or received.flags & packet.FIN:
+            if received.flags & packet.FIN and received.seq == self.ack:
+                self.ack = (self.ack + 1) % packet.RANGE
             self.send(packet.ACK)
 
     def _on_answer(self, received, now):
