--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -62,6 +62,7 @@
         self.beat_now = threading.Event()
         # The Unix time of the machine's clock, which may be stepped.
         self.born = int(time.time() * 1000) + settings.get('clock_offset_ms', 0)
+        self.cold_until = time.monotonic() + settings.get('cold_ms', 0) / 1000
         self.note('started', born=self.born)
 
     def note(self, event, **fields):
@@ -225,7 +226,7 @@
                 'version': 'v1',
                 'capacity': self.settings['capacity'],
                 'state': state,
-                'cold_remaining_ms': 0,
+                'cold_remaining_ms': self.cold_ms(),
                 'sequence': self.beats,
                 'born': self.born,
             }
@@ -237,6 +238,10 @@
             self.beat_now.wait(seconds if is_acknowledged else BEAT_RETRY_SECONDS)
             self.beat_now.clear()
 
+    def cold_ms(self):
+        """Return how much longer the backend is slow after its start."""
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
     def call(self, method, body):
         """Call the agent's control address; tell whether it acknowledged the call."""
         host, port = self.settings['control'].rsplit(':', 1)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -71,6 +71,7 @@
         self.stopping = self.is_removed = False
         self.started_at = 0.0
         self.restart_at = None
+        self.restarts = 0
         ports = deployment.ports
         self._role = deployment.roles[role]
         self.role = role
@@ -347,7 +348,9 @@
         machine.start()
         return machine
 
-    def start_backend(self, name, machine, capacity=2, work_ms=(20, 60), offset_ms=0):
+    def start_backend(
+        self, name, machine, capacity=2, work_ms=(20, 60), offset_ms=0, cold_ms=0
+    ):
         """Start a backend beside an agent."""
         settings = {
             'id': name, 'service': machine.service, 'zone': machine.zone,
@@ -355,7 +358,8 @@
             'outbound': f'{machine.host}:{self.ports["outbound"]}',
             'control': f'{machine.host}:{self.ports["control"]}',
             'capacity': capacity, 'heartbeat_ms': HEARTBEAT_MS, 'work_ms': work_ms,
-            'clock_offset_ms': offset_ms, 'events': str(self.folder / f'{name}.events'),
+            'clock_offset_ms': offset_ms, 'cold_ms': cold_ms,
+            'events': str(self.folder / f'{name}.events'),
         }
         popen = self.spawn(
             ['backend.py', json.dumps(settings)], stdin=subprocess.PIPE, text=True
@@ -485,6 +489,7 @@
                 machine.restart_at = now + RESTART_SECONDS
             elif now >= machine.restart_at:
                 machine.start()
+                machine.restarts += 1
                 self.record('process started', machine=machine.name)
 
     def terminate(self, machine):
