--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -16,9 +16,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 import zlib
 
 import packet
@@ -61,6 +63,20 @@
     return re.sub(r'{{([\w.]+)}}', lambda match: str(look_up(match[1])), text)
 
 
+def exit_with(play):
+    """End with the status that a case returns, or with 2 if it could not run.
+
+    SIGTERM ends it with 2 too, after the processes that it started.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        status = play()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
+
+
 class Machine:
     """A machine with a process of the system, and its settings."""
 
