--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -63,12 +63,34 @@
     return re.sub(r'{{([\w.]+)}}', lambda match: str(look_up(match[1])), text)
 
 
+class Ending:
+    """Whether the case was told to end; it does so between two steps.
+
+    An exception in the signal handler could interrupt the start of a process, or a
+    second signal the end of the others.
+    """
+
+    is_due = False
+
+    @classmethod
+    def request(cls, *_):
+        """Handle a signal."""
+        cls.is_due = True
+
+    @classmethod
+    def check(cls):
+        """Raise if the case has to end."""
+        if cls.is_due:
+            raise SystemExit(2)
+
+
 def exit_with(play):
     """End with the status that a case returns, or with 2 if it could not run.
 
-    SIGTERM ends it with 2 too, after the processes that it started.
+    SIGTERM and SIGINT end it with 2 too, after the processes that it started.
     """
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, Ending.request)
     try:
         status = play()
     except Exception:
@@ -327,6 +349,7 @@
         host, port = self.store_address.split(':')
         self.spawn(['store.py', host, port])
         for _ in range(200):
+            Ending.check()
             try:
                 socket.create_connection((host, int(port)), 1).close()
                 return
@@ -458,6 +481,7 @@
 
     def step(self, seconds=0.01):
         """Do what is due, and handle the packets that arrive within a time."""
+        Ending.check()
         now = time.monotonic()
         if now >= self._probe_at:
             self._probe_at = now + PROBE_SECONDS
