--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -43,7 +43,9 @@
 
     __slots__ = (
         '_adopted_era',
+        '_answered_at',
         '_bound_seconds',
+        '_heard_at',
         '_is_behind',
         '_log',
         '_loop',
@@ -81,6 +83,8 @@
         self._log = log
         self._is_behind = threading.Event()
         self._newest_version = 0
+        self._heard_at: float | None = None
+        self._answered_at = time.monotonic()
         self._adopted_era = 0
         self.on_read: typing.Callable[[store.Listing | store.Changes], None] = (
             lambda _result: None
@@ -97,9 +101,33 @@
 
     def note_version(self, version: int) -> None:
         """Start catching up when another entry follows a newer version."""
-        if version > self._routes.version:
-            self._newest_version = max(self._newest_version, version)
-            self._is_behind.set()
+        in_force = self._routes.version
+        if version <= in_force:
+            return
+        if version > self._newest_version:
+            self._newest_version = version
+            self._heard_at = self._heard_at or time.monotonic()
+            unanswered_seconds = round(self.unanswered_seconds(), 3)
+            self._log(
+                'newer_version_heard',
+                version=version,
+                in_force=in_force,
+                store_unanswered_seconds=unanswered_seconds,
+            )
+        self._is_behind.set()
+
+    def unanswered_seconds(self) -> float:
+        """Return the time since the store last answered a read or a watch."""
+        return time.monotonic() - self._answered_at
+
+    def pop_delay_seconds(self) -> float:
+        """Return the time since a newer version was first heard of from others.
+
+        :return: the time in seconds, 0 if the store was the first to tell of it.
+        """
+        heard_at = self._heard_at
+        self._heard_at = None
+        return 0 if heard_at is None else time.monotonic() - heard_at
 
     def _follow_store(self) -> None:
         _following.follow_prefix(
@@ -114,11 +142,13 @@
 
     def _on_reached(self, is_reached: bool) -> None:
         self.is_store_reached = is_reached
+        if is_reached:
+            self._answered_at = time.monotonic()
 
     def _on_listing(self, listing: store.Listing) -> None:
         is_restored = 0 < self.store_era < listing.era
         self.store_era = listing.era
-        self.is_store_reached = True
+        self._on_reached(True)
         self.on_read(listing)
         self._post_adoption(listing.items)
         if is_restored:
--- a/src/egretjunction/relay/_process.py
+++ b/src/egretjunction/relay/_process.py
@@ -164,12 +164,14 @@
     """
     failures = 0
     while True:
+        started_at = time.monotonic()
         try:
             result = call()
         except errors.PlatformUnavailableError as error:
             failures += 1
             if failures == 1:
-                log('store_lost', call=call_name, error=str(error))
+                seconds = round(time.monotonic() - started_at, 3)
+                log('store_lost', call=call_name, seconds=seconds, error=str(error))
             time.sleep(RETRY_SECONDS)
             continue
         if failures:
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -89,7 +89,7 @@
             platform,
             self._routes,
             self._loop,
-            self._handle_early_packets,
+            self._on_configuration_adopted,
             self._list_after_restore,
             log,
         )
@@ -151,6 +151,7 @@
         gauge('members', lambda: len(self._members.member_by_name))
         gauge('domains_evacuated', lambda: len(self._members.evacuations.domains))
         gauge('configuration_version', lambda: self._routes.version)
+        gauge('store_unanswered_seconds', self._configuration.unanswered_seconds)
         gauge('store_era', lambda: self._configuration.store_era)
         gauge('datagrams_unsent', lambda: self._agents.dropped + self._clients.dropped)
 
@@ -242,6 +243,11 @@
         else:
             self._early_packets.append((self._last_client_packet_at, packet))
 
+    def _on_configuration_adopted(self) -> None:
+        delay_seconds = self._configuration.pop_delay_seconds()
+        self._metrics.latency('configuration_delay', delay_seconds)
+        self._handle_early_packets()
+
     def _handle_early_packets(self) -> None:
         """Handle client packets received before configuration and agents were known."""
         if not self._has_routes_and_members():
--- a/src/egretjunction/relay/http_calls.py
+++ b/src/egretjunction/relay/http_calls.py
@@ -102,12 +102,25 @@
     while not parts.is_complete:
         remaining_seconds = deadline - time.monotonic()
         if remaining_seconds <= 0:
-            raise TimeoutError('response was not complete in time')
+            raise TimeoutError(_describe_incomplete(parts))
         connection.settimeout(remaining_seconds)
-        received = connection.recv(READ_BYTES)
+        received = _read_chunk(connection, parts)
         if not received:
             raise OSError('connection closed before the response was complete')
         parser.feed_data(received)
         if len(parts.body) > MAX_BODY_BYTES:
             raise OSError(f'response body exceeds {MAX_BODY_BYTES} bytes')
     return Response(parser.get_status_code(), parts.body, parts.header_by_name)
+
+
+def _read_chunk(connection: socket.socket, parts: _ResponseParts) -> bytes:
+    try:
+        return connection.recv(READ_BYTES)
+    except TimeoutError as error:
+        raise TimeoutError(_describe_incomplete(parts)) from error
+
+
+def _describe_incomplete(parts: _ResponseParts) -> str:
+    """Return how much of a response has arrived, for an error message."""
+    expected = parts.header_by_name.get('content-length', 'an unknown number of')
+    return f'timed out after {len(parts.body)} of {expected} bytes'
