--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -2,14 +2,19 @@
 
 import base64
 import contextlib
+import ctypes
 import http.server
 import json
+import socket
+import struct
 import threading
 import urllib.parse
 
 from egretjunction import addresses
 
 CUT = 0  # in place of a status: the connection is closed without a response
+SO_ATTACH_FILTER = 26  # of Linux; the module ``socket`` does not name it
+_DROP_ALL = struct.pack('HBBI', 0x06, 0, 0, 0)  # the instruction "return 0 bytes"
 
 
 class State:
@@ -36,6 +41,8 @@
         self.loses_responses = False
         self.before_response = lambda _path: None
         self.changed = threading.Condition()
+        self.connections = set()
+        self.silent_connections = set()
 
     def write(self, puts, deletes):
         """Write and delete keys, each at a revision of its own."""
@@ -59,6 +66,18 @@
             self.changed.notify_all()
         return self.revision
 
+    def silence_connections(self, *, answers_probes=False):
+        """Never use the connections that are open now again; new ones work.
+
+        :param answers_probes: whether the kernel still acknowledges what arrives, as
+            that of a proxy would.
+        """
+        with self.changed:
+            silenced = self.connections - self.silent_connections
+            self.silent_connections |= silenced
+        for connection in () if answers_probes else silenced:
+            _drop_received(connection)
+
     def copy(self):
         """Return a copy of the contents, to restore the store from."""
         with self.changed:
@@ -83,6 +102,13 @@
         ]
 
 
+def _drop_received(connection):
+    """Have the kernel drop, without an acknowledgement, all that a socket receives."""
+    instructions = ctypes.create_string_buffer(_DROP_ALL, len(_DROP_ALL))
+    program = struct.pack('HP', 1, ctypes.addressof(instructions))
+    connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 @contextlib.contextmanager
 def running():
     """Yield the state and the address of a running store."""
@@ -91,8 +117,7 @@
     class Handler(_Handler):
         store = state
 
-    server = http.server.ThreadingHTTPServer(('127.0.0.1', 0), Handler)
-    server.daemon_threads = True
+    server = _Server(('127.0.0.1', 0), Handler)
     thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
     thread.start()
     try:
@@ -102,9 +127,22 @@
         server.server_close()
 
 
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128  # all entries call at once when a key has changed
+
+
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
 
+    def setup(self):
+        super().setup()
+        self.store.connections.add(self.connection)
+
+    def finish(self):
+        self.store.connections.discard(self.connection)
+        super().finish()
+
     def log_message(self, *_):
         """Log nothing."""
 
@@ -168,6 +206,8 @@
         return 200, {'revision': revision}
 
     def _respond(self, code, body):
+        if self.connection in self.store.silent_connections:
+            threading.Event().wait()
         if self.store.is_silent or code == CUT:
             self.close_connection = True
             return
