Spread the ends of watches that a change has started together

What callers would see: a version that no entry puts into force within the bound, when the store, or a proxy before it, takes watches and never answers them. Probes of the connection don't show that; only the end of a watch does.

Cause: the length of a watch assumed that the ends of many entries' watches are spread evenly, so that one of them ends within the bound and the others hear of its version. A change ends all of them at one moment, and the next ones lasted between half of their length and the whole: none ended in the first half.

Change: an entry's watch ends at the entry's place in the interval since the last change, by the order of names. The interval is what the longest watch was.

The test of the lengths of watches is replaced: it took evenly spread ends for granted and checked only the shortest and the longest watch. The new one computes the ends of the watches of all entries of each site after a common change, for 60 s, and checks every gap against the bound, also with every second entry cut off.

--- a/src/egretjunction/decisions/relay_watching.py
+++ b/src/egretjunction/decisions/relay_watching.py
@@ -2,9 +2,12 @@
 
 Every change of a key costs one call of each process that watches it. Few entries of
 each failure domain therefore watch the listings; agents announce themselves to the
-others. A watch of the configuration that goes silent is noticed only when it ends; the
-more entries repeat theirs, the sooner one of them learns of a new version, which
-spreads through the agents.
+others.
+
+A store that accepts a watch and never answers it is noticed only when the watch ends.
+The entry that notices it first learns of a new version, which spreads through the
+agents. A change ends the watches of all entries at one moment; those that follow it end
+at times that are spread evenly, so that some entry's watch ends within the bound.
 """
 
 import typing
@@ -16,7 +19,7 @@
 MIN_WATCH_SECONDS = 1.0
 SPREAD_SECONDS = 1.0  # a version reaches every entry through agents within this time
 ENTRIES_PER_WATCH = 2.0  # one of two may be cut off or restarting
-MIN_JITTER_SHARE = 0.5
+MIN_JITTER_SHARE = 0.5  # of the time between two listings
 
 
 def is_watcher(
@@ -44,16 +47,35 @@
     return RELIST_SECONDS * (MIN_JITTER_SHARE + uniform)
 
 
-def configuration_watch_seconds(
-    configuration_seconds: float, entry_count: int, uniform: float
+def configuration_interval_seconds(
+    configuration_seconds: float, entry_count: int
 ) -> float:
-    """Return how long an entry waits in one watch of the configuration.
+    """Return the time between two ends of an entry's watches of the configuration.
 
     :param configuration_seconds: time within which a version must be in force.
     :param entry_count: number of entries that repeat their watches.
-    :param uniform: random number in [0, 1), which spreads the entries.
     """
     slack_seconds = max(MIN_WATCH_SECONDS, configuration_seconds - SPREAD_SECONDS)
-    longest = slack_seconds * max(1.0, entry_count / ENTRIES_PER_WATCH)
-    jitter = MIN_JITTER_SHARE + (1 - MIN_JITTER_SHARE) * uniform
-    return max(MIN_WATCH_SECONDS, min(MAX_WATCH_SECONDS, longest) * jitter)
+    interval_seconds = slack_seconds * max(1.0, entry_count / ENTRIES_PER_WATCH)
+    return min(MAX_WATCH_SECONDS, interval_seconds)
+
+
+def configuration_watch_seconds(
+    interval_seconds: float,
+    name: str,
+    entry_names: typing.Collection[str],
+    since_change_seconds: float,
+) -> float:
+    """Return how long an entry waits in one watch of the configuration.
+
+    :param interval_seconds: time between two ends of its watches.
+    :param name: name of the entry.
+    :param entry_names: names of all entries that repeat their watches.
+    :param since_change_seconds: time since the last change, which all of them received
+        at the same moment.
+    """
+    position = sum(other < name for other in entry_names)
+    count = max(position + 1, len(entry_names))
+    offset_seconds = interval_seconds * (position + 0.5) / count
+    until_end_seconds = (offset_seconds - since_change_seconds) % interval_seconds
+    return max(MIN_WATCH_SECONDS, until_end_seconds)
--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -45,6 +45,7 @@
         '_adopted_era',
         '_answered_at',
         '_bound_seconds',
+        '_changed_at',
         '_heard_at',
         '_is_behind',
         '_log',
@@ -85,6 +86,7 @@
         self._newest_version = 0
         self._heard_at: float | None = None
         self._answered_at = time.monotonic()
+        self._changed_at = self._answered_at
         self._adopted_era = 0
         self.on_read: typing.Callable[[store.Listing | store.Changes], None] = (
             lambda _result: None
@@ -146,6 +148,7 @@
             self._answered_at = time.monotonic()
 
     def _on_listing(self, listing: store.Listing) -> None:
+        self._changed_at = time.monotonic()
         is_restored = 0 < self.store_era < listing.era
         self.store_era = listing.era
         self._on_reached(True)
@@ -155,12 +158,20 @@
             self._on_restored()
 
     def _on_changes(self, changes: store.Changes) -> None:
+        if changes.written or changes.deleted:
+            self._changed_at = time.monotonic()
         self.on_read(changes)
         self._post_adoption(changes.written)
 
     def _choose_watch_seconds(self) -> float:
+        names = {self._own_name, *self.peer_by_name}
         return relay_watching.configuration_watch_seconds(
-            self._bound_seconds, len(self.peer_by_name), random.random()
+            relay_watching.configuration_interval_seconds(
+                self._bound_seconds, len(names)
+            ),
+            self._own_name,
+            names,
+            time.monotonic() - self._changed_at,
         )
 
     def _post_adoption(self, items: typing.Iterable[store.Item]) -> None:
--- a/tests/decisions/test_relay_watching.py
+++ b/tests/decisions/test_relay_watching.py
@@ -1,5 +1,7 @@
 """Which entries watch the store, and for how long."""
 
+import itertools
+
 import pytest
 
 from egretjunction.decisions import relay_watching
@@ -26,21 +28,46 @@
     assert relay_watching.is_watcher('f-1', 'b', domain_by_entry)
 
 
-@pytest.mark.parametrize(('entries', 'bound_seconds'), SITES)
-def test_half_of_the_entries_repeat_a_watch_within_the_bound(entries, bound_seconds):
-    """With evenly spread watches of half the entries, one ends before the bound."""
-    longest = relay_watching.configuration_watch_seconds(bound_seconds, entries, 1.0)
-    assert longest <= relay_watching.MAX_WATCH_SECONDS
-    interval = longest / (entries / 2)
-    assert interval + relay_watching.SPREAD_SECONDS <= bound_seconds
+def _watch_ends(entries, bound_seconds, until):
+    """Return the ends of the watches of entries that received a change at once."""
+    names = [f'e-{number:02}' for number in range(entries)]
+    interval = relay_watching.configuration_interval_seconds(bound_seconds, entries)
+    assert interval <= relay_watching.MAX_WATCH_SECONDS
+    ends = []
+    for name in names:
+        elapsed = 0.0
+        while elapsed < until:
+            wait = relay_watching.configuration_watch_seconds(
+                interval, name, names, elapsed
+            )
+            assert wait >= relay_watching.MIN_WATCH_SECONDS
+            assert wait <= relay_watching.MAX_WATCH_SECONDS
+            elapsed += wait
+            ends.append((elapsed, name))
+    return sorted(ends)
+
+
+@pytest.mark.parametrize(('entries', 'bound_seconds'), [(1, 3.0), (2, 5.0), *SITES])
+@pytest.mark.parametrize('cut_off', [0, 1])
+def test_watches_that_start_together_end_throughout_the_bound(
+    entries, bound_seconds, cut_off
+):
+    """A version is in force in time, also when every second entry is cut off."""
+    if entries == 1 and cut_off:
+        return
+    ends = _watch_ends(entries, bound_seconds, 60.0)
+    step = 1 + cut_off
+    kept = {f'e-{number:02}' for number in range(0, entries, step)}
+    times = [0.0, *(at for at, name in ends if name in kept)]
+    gaps = [after - before for before, after in itertools.pairwise(times)]
+    assert max(gaps) + relay_watching.SPREAD_SECONDS <= bound_seconds
 
 
-def test_watches_of_one_length_are_spread():
-    shortest, longest = (
-        relay_watching.configuration_watch_seconds(6.0, 59, uniform)
-        for uniform in (0, 1)
-    )
-    assert shortest == longest / 2
+def test_entry_that_is_not_listed_yet_waits_no_longer_than_the_others():
+    interval = relay_watching.configuration_interval_seconds(5.0, 22)
+    names = [f'e-{number:02}' for number in range(22)]
+    wait = relay_watching.configuration_watch_seconds(interval, 'f', names, 0.0)
+    assert wait <= interval
 
 
 def test_listings_are_spread_around_their_interval():
