Probe the QUIC side's connections to the platform too

What callers would see: a change of the configuration in force up to 35 s late, by the target within 10 s, when the connection of the entry that watches the head goes silent.

Cause: as on the relay; a watch lasts 30 s and was noticed only when it ended. The other entries poll every 60 s, so nobody was earlier.

Change: one function sets the probes on both sides' connections.

--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -5,8 +5,11 @@
 import msgspec
 from tornado import httpclient
 from tornado import httputil
+from tornado import iostream
 from tornado import simple_httpclient
+from tornado import tcpclient
 
+from egretjunction import _tcp
 from egretjunction import errors
 from egretjunction import store
 
@@ -48,6 +51,18 @@
     lease: int
 
 
+class _ProbingTCPClient(tcpclient.TCPClient):
+    """Opens connections that fail when the other end no longer acknowledges probes."""
+
+    async def connect(
+        self, *arguments: typing.Any, **options: typing.Any
+    ) -> iostream.IOStream:
+        """Connect like the base class."""
+        stream = await super().connect(*arguments, **options)
+        _tcp.enable_keepalive(stream.socket)
+        return stream
+
+
 class Platform:
     """Client of the service at a base URL.
 
@@ -62,6 +77,7 @@
             force_instance=True,
             max_clients=MAX_CONCURRENT_CALLS,
         )
+        self._client.tcp_client = _ProbingTCPClient()
 
     async def get(self, key: str) -> store.Item:
         """Return the item of a key, with revision 0 when the key does not exist.
--- a/src/egretjunction/relay/http_calls.py
+++ b/src/egretjunction/relay/http_calls.py
@@ -6,17 +6,13 @@
 import httptools
 import msgspec
 
+from egretjunction import _tcp
 from egretjunction import addresses
 
 READ_BYTES = 262_144
 MAX_BODY_BYTES = 4 * 1024 * 1024  # four times the largest value of the store
 # Connecting takes about 1 ms; this limit leaves time for one more attempt within 1 s.
 CONNECT_TIMEOUT_SECONDS = 0.7
-# A connection whose other end does not acknowledge probes fails after 3 s, also while a
-# watch waits on it.
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -50,7 +46,7 @@
     with socket.create_connection(
         address, min(timeout_seconds, CONNECT_TIMEOUT_SECONDS)
     ) as connection:
-        _enable_keepalive(connection)
+        _tcp.enable_keepalive(connection)
         connection.sendall(_request(address, method, target, body))
         try:
             return _receive(connection, deadline)
@@ -58,18 +54,6 @@
             raise OSError(f'response is not valid HTTP: {error}') from error
 
 
-def _enable_keepalive(connection: socket.socket) -> None:
-    """Have the kernel probe the other end of a connection while nothing arrives."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    value_by_option = {
-        socket.TCP_KEEPIDLE: KEEPALIVE_IDLE_SECONDS,
-        socket.TCP_KEEPINTVL: KEEPALIVE_INTERVAL_SECONDS,
-        socket.TCP_KEEPCNT: KEEPALIVE_PROBES,
-    }
-    for option, setting in value_by_option.items():
-        connection.setsockopt(socket.IPPROTO_TCP, option, setting)
-
-
 def _request(
     address: addresses.Address,
     method: str,
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -76,7 +76,7 @@
             silenced = self.connections - self.silent_connections
             self.silent_connections |= silenced
         for connection in () if answers_probes else silenced:
-            _drop_received(connection)
+            drop_received(connection)
 
     def copy(self):
         """Return a copy of the contents, to restore the store from."""
@@ -102,7 +102,7 @@
         ]
 
 
-def _drop_received(connection):
+def drop_received(connection):
     """Have the kernel drop, without an acknowledgement, all that a socket receives."""
     instructions = ctypes.create_string_buffer(_DROP_ALL, len(_DROP_ALL))
     program = struct.pack('HP', 1, ctypes.addressof(instructions))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
@@ -10,6 +11,7 @@
 from egretjunction import settings
 from egretjunction.standins import platform as standin
 from egretjunction.standins import ports
+from tests.platform import store_standin
 
 PORTS = ports.PortAllocator()
 
@@ -176,3 +178,26 @@
         assert await client.renew_lease(other)
 
     _with_platform(scenario)
+
+
+def test_silent_watch_ends_within_seconds():
+    """Guards against a head that changes unseen for the length of a watch, 30 s."""
+
+    async def run():
+        connections = []
+
+        async def accept(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            store_standin.drop_received(writer.get_extra_info('socket'))
+            connections.append(writer)
+
+        address = PORTS.take()
+        async with await asyncio.start_server(accept, *address):
+            started_at = time.monotonic()
+            with pytest.raises(errors.PlatformUnavailableError):
+                await platform.Platform(f'http://{address}').watch('a', 1)
+            assert time.monotonic() - started_at < 5
+            for connection in connections:
+                connection.transport.abort()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
