--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -174,6 +174,14 @@
     )
 
 
+def put(host, port, path, body):
+    """Return the status of a PUT request."""
+    connection = http.client.HTTPConnection(host, port, timeout=1)
+    with contextlib.closing(connection):
+        connection.request('PUT', path, body)
+        return connection.getresponse().status
+
+
 @contextlib.contextmanager
 def _peer(document):
     """Yield the address of an entry that serves a configuration, and requested paths."""
