Deep nesting is a malformed value, wherever one is read

What callers saw: with one deeply nested listing in the store, every entry ended, and again after each start; agents never listed themselves. With one deeply nested key below op/evacuate/, no entry followed the configuration any more. One datagram ended a process.

Cause: msgspec raises RecursionError for deep nesting, also in fields that the reader doesn't know; readers expected DecodeError only. In the event loop the exception ended the process; in a thread it restarted the task, which read the same value again.

Change: one function decodes what others have put down and reports nesting as any other malformed value. All readers use it, on both sides.

--- a/src/egretjunction/evacuations.py
+++ b/src/egretjunction/evacuations.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from egretjunction import _decoding
 from egretjunction import document_changes
 from egretjunction import errors
 from egretjunction import logs
@@ -79,7 +80,7 @@
     :raises errors.UnreachableError: when one of them does not respond.
     """
     return [
-        msgspec.json.decode(await operators.status_of(admin), type=ProcessStatus)
+        _decoding.decode_json(await operators.status_of(admin), ProcessStatus)
         for admin in admins
     ]
 
@@ -92,7 +93,7 @@
     """
     body = await operators.status_of(admin)
     try:
-        status = msgspec.json.decode(body, type=_EntryStatus)
+        status = _decoding.decode_json(body, _EntryStatus)
     except msgspec.DecodeError as error:
         raise errors.UnreachableError(f'{admin} is no entry: {error}') from error
     return {
--- a/src/egretjunction/operators.py
+++ b/src/egretjunction/operators.py
@@ -7,6 +7,7 @@
 from tornado import httpclient
 from tornado import simple_httpclient
 
+from egretjunction import _decoding
 from egretjunction import addresses
 from egretjunction import document_changes
 from egretjunction import errors
@@ -80,7 +81,7 @@
     item = await service.get(platform.HEAD_KEY)
     if not item.revision:
         return Accepted(None, 0, EMPTY, item.era)
-    head = msgspec.json.decode(item.data, type=document_changes.Head)
+    head = _decoding.decode_json(item.data, document_changes.Head)
     snapshot = await service.get(head.snapshot_key)
     if document.digest(snapshot.data.decode()) != head.snapshot_sha256:
         raise errors.PlatformUnavailableError(
--- a/src/egretjunction/platform.py
+++ b/src/egretjunction/platform.py
@@ -9,6 +9,7 @@
 from tornado import simple_httpclient
 from tornado import tcpclient
 
+from egretjunction import _decoding
 from egretjunction import _tcp
 from egretjunction import errors
 from egretjunction import store
@@ -105,7 +106,7 @@
         """
         try:
             response = await self._call('GET', f'/v1/kv?prefix={prefix}')
-            listing = msgspec.json.decode(response.body, type=_Items)
+            listing = _decoding.decode_json(response.body, _Items)
             era = _read_era(response.headers)
             return [item.to_item(era) for item in listing.items]
         except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
@@ -175,7 +176,7 @@
         except OSError as error:
             raise errors.PlatformUnavailableError(f'read failed: {error}') from error
         try:
-            item = msgspec.json.decode(response.body, type=_Item)
+            item = _decoding.decode_json(response.body, _Item)
         except msgspec.DecodeError as error:
             raise errors.PlatformUnavailableError(
                 f'response cannot be decoded: {error}'
@@ -240,7 +241,7 @@
         taken effect.
     """
     try:
-        return msgspec.json.decode(response.body, type=response_type)
+        return _decoding.decode_json(response.body, response_type)
     except msgspec.DecodeError as error:
         raise errors.NotKnownError(
             f'response to a write cannot be decoded: {error}'
--- a/src/egretjunction/quic/agent.py
+++ b/src/egretjunction/quic/agent.py
@@ -11,6 +11,7 @@
 from tornado import simple_httpclient
 
 from egretjunction import _admin
+from egretjunction import _decoding
 from egretjunction import _udp
 from egretjunction import addresses
 from egretjunction import errors
@@ -284,7 +285,7 @@
                 response = await client.fetch(
                     url, request_timeout=HEALTH_TIMEOUT_SECONDS
                 )
-                report = msgspec.json.decode(response.body, type=BackendHealth)
+                report = _decoding.decode_json(response.body, BackendHealth)
                 self._health.record_reachable()
                 self._apply_health_report(report)
             except ConnectionRefusedError:
--- a/src/egretjunction/quic/entry.py
+++ b/src/egretjunction/quic/entry.py
@@ -8,6 +8,7 @@
 from tornado import ioloop
 
 from egretjunction import _admin
+from egretjunction import _decoding
 from egretjunction import _udp
 from egretjunction import document_changes
 from egretjunction import errors
@@ -260,7 +261,7 @@
             await asyncio.sleep(PLATFORM_RETRY_SECONDS)
             return
         try:
-            head = msgspec.json.decode(item.data, type=document_changes.Head)
+            head = _decoding.decode_json(item.data, document_changes.Head)
         except msgspec.DecodeError as error:
             logs.get().error('head_unreadable', error=str(error))
             await asyncio.sleep(PLATFORM_RETRY_SECONDS)
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from egretjunction import _decoding
 from egretjunction import addresses
 from egretjunction import store
 from egretjunction.decisions import relay_members
@@ -79,7 +80,7 @@
     if not item.key.startswith(AGENTS_PREFIX):
         return None
     try:
-        listing = msgspec.json.decode(item.data, type=_AgentListing)
+        listing = _decoding.decode_json(item.data, _AgentListing)
         address = addresses.parse(listing.address)
     except (msgspec.DecodeError, ValueError):
         return None
@@ -92,7 +93,7 @@
     if not item.key.startswith(ENTRIES_PREFIX):
         return None
     try:
-        listing = msgspec.json.decode(item.data, type=_EntryListing)
+        listing = _decoding.decode_json(item.data, _EntryListing)
         address = addresses.parse(listing.address)
         figures = addresses.parse(listing.figures) if listing.figures else None
     except (msgspec.DecodeError, ValueError):
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -6,6 +6,7 @@
 import msgspec
 import xxhash
 
+from egretjunction import _decoding
 from egretjunction import errors
 
 ANNOUNCE_TAG = 11
@@ -230,7 +231,7 @@
     :raises errors.PacketError: when the datagram holds no relay message.
     """
     try:
-        return _DECODER.decode(datagram)
+        return _decoding.decode_with(_DECODER, datagram)
     except msgspec.DecodeError as error:
         raise errors.PacketError(f'not a relay message: {error}') from error
 
