Numbers that are too large are malformed values

What callers saw: a configuration whose version has more than 64 bits ended every entry that read it, at the next ping; a figure cold_per_s of 400 digits kept its version out of force everywhere; a heartbeat with an absurd capacity, sequence or cold time ended the agent or made it refuse all later heartbeats.

Cause: JSON integers have no bound in Python, but messages carry 64 bits, and floats end at 1e308. The values passed the readers and failed where they were sent or computed with.

Change: the readers bound every number.

--- a/src/egretjunction/_decoding.py
+++ b/src/egretjunction/_decoding.py
@@ -1,12 +1,16 @@
 """Decoding of what other processes and writers have put down.
 
-msgspec reports most errors as ``DecodeError``, but deep nesting as ``RecursionError``.
+msgspec reports most errors as ``DecodeError``, but not all: deep nesting raises
+``RecursionError``, and JSON integers may be larger than messages can carry.
 """
 
 import typing
 
 import msgspec
 
+MAX_INTEGER = 0x7FFFFFFFFFFFFFFF  # of bounds in msgspec
+Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
 
 class _Decoder(typing.Protocol):
     def decode(self, encoded: bytes) -> typing.Any:
--- a/src/egretjunction/decisions/relay_cold.py
+++ b/src/egretjunction/decisions/relay_cold.py
@@ -9,6 +9,7 @@
 import typing
 
 from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_routes
 from egretjunction.wire import relaying
 
 # A second, and the time that a packet may take from this process to the server.
@@ -76,7 +77,7 @@
         :param per_second: the figure, ``relaying.NO_LIMIT`` if the entry knows none.
         :param version: configuration version that the entry follows.
         """
-        is_known = math.isfinite(per_second) and per_second >= 0
+        is_known = 0 <= per_second <= relay_routes.MAX_COLD_PER_SECOND
         if not is_known or version < self._version:
             return []
         self._version = version
--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -10,6 +10,7 @@
 # Bounds of a route that no accepted version of the configuration has stated.
 FALLBACK_TARGET_SECONDS = 0.2
 FALLBACK_TIMEOUT_SECONDS = 1.0
+MAX_COLD_PER_SECOND = 1_000_000_000  # a higher figure is a typing error
 
 
 class Route:
