A listed service without routes doesn't keep entries from being ready

What callers saw: one listing that names a service nobody serves left every entry not ready; the routers then use what they can.

Cause: an entry is not ready while no agent of some service answers it, which guards against an entry that is cut off. It asked this of every listed service.

Change: only services count that a route in force names.

--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -361,14 +361,21 @@
             for member in self.member_by_name.values()
         )
 
-    def has_unreachable_service(self, now: float) -> bool:
+    def has_unreachable_service(
+        self, services: typing.Container[str], now: float
+    ) -> bool:
         """Tell whether none of the agents of some service answers this entry.
 
         Such an entry reports itself as not ready, so that routers use entries that
         may still reach the agents.
+
+        :param services: services that routes name; a listing may name others, whose
+            agents have left or never were.
+        :param now: the time in seconds.
         """
         return any(
-            not self._is_reachable(service, now) for service in self._probed_members()
+            service in services and not self._is_reachable(service, now)
+            for service in self._probed_members()
         )
 
     def _is_reachable(self, service: str, now: float) -> bool:
--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -66,6 +66,7 @@
         'cold_per_second_by_service',
         'problems',
         'route_by_address',
+        'services',
         'version',
     )
 
@@ -80,6 +81,11 @@
         self.version = version
         self.problems = problems
         self.route_by_address = {route.address: route for route in routes}
+        self.services = {
+            service
+            for route in self.route_by_address.values()
+            for service in route.weight_by_service
+        }
 
     def complete_bounds(self, previous: 'RouteTable') -> None:
         """Take unknown bounds of routes from the previous version.
@@ -130,6 +136,11 @@
         """Return the number of routes in force."""
         return len(self._table.route_by_address)
 
+    @property
+    def services(self) -> set[str]:
+        """Return the services that the routes in force name."""
+        return self._table.services
+
     def adopt(self, table: RouteTable, *, is_replacement: bool = False) -> bool:
         """Put a route table into force if it is newer; return whether it was.
 
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -204,9 +204,9 @@
             return False
         now = self._clock()
         listed_seconds = now - (self._members_listed_at or 0)
-        if listed_seconds < SETTLE_SECONDS or self._members.has_unreachable_service(
-            now
-        ):
+        if listed_seconds < SETTLE_SECONDS:
+            return False
+        if self._members.has_unreachable_service(self._routes.services, now):
             return False
         self._has_been_ready = self._has_been_ready or self._is_informed(listed_seconds)
         return self._has_been_ready
--- a/tests/decisions/test_relay_members.py
+++ b/tests/decisions/test_relay_members.py
@@ -5,6 +5,8 @@
 from egretjunction.wire import relaying
 from tests import relay_builders as build
 
+SERVICES = {build.SERVICE, 'surveys'}
+
 
 def _members(*names, service=build.SERVICE):
     members = relay_members.Members('a')
@@ -25,16 +27,23 @@
     members = _members('m-1', 'm-2')
     other = _add(members, 'm-3', 'surveys')
     other.record_request(1)
-    assert not members.has_unreachable_service(1.2)
-    assert members.has_unreachable_service(1.6)
+    assert not members.has_unreachable_service(SERVICES, 1.2)
+    assert members.has_unreachable_service(SERVICES, 1.6)
     other.record_status(build.status(), 1.7)
-    assert not members.has_unreachable_service(1.7)
+    assert not members.has_unreachable_service(SERVICES, 1.7)
+
+
+def test_silent_agent_of_a_service_without_routes_leaves_the_entry_ready():
+    """Guards against one odd listing after which no entry is ready."""
+    members = _members('m-1')
+    _add(members, 'm-2', 'nobody').record_request(1)
+    assert not members.has_unreachable_service(SERVICES, 9)
 
 
 def test_service_with_an_answering_agent_is_reachable():
     members = _members('m-1', 'm-2')
     members.member_by_name['m-1'].record_request(1)
-    assert not members.has_unreachable_service(9)
+    assert not members.has_unreachable_service(SERVICES, 9)
 
 
 def _chosen_name(members, now, key=build.KEY, excluded=()):
@@ -152,7 +161,7 @@
         for member in members.due_for_ping(now):
             member.pinged_at = now
             member.record_request(now)
-    assert members.has_unreachable_service(4.0)
+    assert members.has_unreachable_service(SERVICES, 4.0)
 
 
 def test_service_whose_near_agents_are_gone_is_reached_in_other_domains():
@@ -166,7 +175,7 @@
             member.record_request(now)
             if member.name not in near_names:
                 member.record_status(build.status(), now)
-    assert not members.has_unreachable_service(4.5)
+    assert not members.has_unreachable_service(SERVICES, 4.5)
 
 
 def test_stale_listing_does_not_unlist_a_member_that_answers():
