Addresses with words after the host are refused

What callers would see: an entry that stands still for as long as a name lookup takes, with every packet to an agent whose listing has such an address.

Cause: inet_aton accepts what follows a space; the socket then looks the host up by name. Change: the stricter inet_pton; ports are up to five ASCII digits.

--- a/src/egretjunction/addresses.py
+++ b/src/egretjunction/addresses.py
@@ -5,6 +5,8 @@
 import typing
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+ACCEPTED_FORM = 'an IPv4 address and port such as 127.0.0.1:7000'
 PACKED_BYTES = 6
 _PORT = struct.Struct('!H')
 
@@ -29,11 +31,12 @@
     """
     host, _, port = text.strip().rpartition(':')
     try:
-        socket.inet_aton(host)
-    except OSError as error:
-        raise ValueError('an IPv4 address and port such as 127.0.0.1:7000') from error
-    if host.count('.') != 3 or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError('an IPv4 address and port such as 127.0.0.1:7000')
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError) as error:
+        raise ValueError(ACCEPTED_FORM) from error
+    is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(ACCEPTED_FORM)
     return Address(host, int(port))
 
 
