Read a response for as long as it makes progress

Cause: time limits that don't know how much has to be read. A call to the store had 1.0 s, a watch its wait and 0.6 s more, a peer's copy 0.5 s, whatever the size. A value of 1 MiB takes 1.1 s at 10 Mbit/s, alone. Each retry could only fail again, and the watch, the key and the peers' copies were fetched side by side and took the link from each other.

Change: the limits hold until the response begins. From then on it may take as long as parts arrive at most 1 s apart and 16 KB/s on average. An entry that hears of a version while a response is arriving doesn't start a second read; a copy that it already holds isn't decoded again.

--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -181,6 +181,8 @@
 
     def _post_item(self, item: store.Item, source: str) -> int:
         """Have the loop adopt an item; return its version, 0 if it is malformed."""
+        if item.data == self.document and item.era <= self._adopted_era:
+            return self._routes.version
         try:
             table = self._platform.read_routes(item.data)
         except errors.PlatformFormatError as error:
@@ -232,7 +234,12 @@
         """Read the configuration whenever other entries follow a newer version."""
         pause_seconds = CATCH_UP_SECONDS
         while self._is_behind.wait():
-            is_caught_up = self._read_from_store() or self._read_from_peers()
+            # A second response would share the link with the one that is arriving.
+            is_caught_up = (
+                self._platform.store.is_receiving
+                or self._read_from_store()
+                or self._read_from_peers()
+            )
             pause_seconds = (
                 CATCH_UP_SECONDS
                 if is_caught_up
--- a/src/egretjunction/relay/http_calls.py
+++ b/src/egretjunction/relay/http_calls.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+import typing
 
 import httptools
 import msgspec
@@ -13,6 +14,14 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024  # four times the largest value of the store
 # Connecting takes about 1 ms; this limit leaves time for one more attempt within 1 s.
 CONNECT_TIMEOUT_SECONDS = 0.7
+# A response that has begun is read for as long as it makes progress: its size and the
+# speed of the link are not known beforehand.
+STALL_SECONDS = 1.0  # longest pause between two parts of a response
+MIN_BYTES_PER_SECOND = 16_384  # on average; far below the slowest link
+
+
+class ResponseTooLargeError(OSError):
+    """The body of a response exceeds the limit of the call."""
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -33,13 +42,19 @@
     target: str,
     body: bytes | None,
     timeout_seconds: float,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    on_response: typing.Callable[[], None] | None = None,
 ) -> Response:
     """Make one HTTP call and return its response.
 
     :param address: address to connect to; every call opens a new connection.
     :param target: path and query.
     :param body: JSON to send, None for no body.
-    :param timeout_seconds: time limit for the complete response.
+    :param timeout_seconds: time limit until the first part of the response; the rest
+        has time for as long as it makes progress.
+    :param max_body_bytes: limit for the body of the response.
+    :param on_response: called when the first part of the response arrives.
+    :raises ResponseTooLargeError: when the body exceeds its limit.
     :raises OSError: when no complete and valid response arrives in time.
     """
     deadline = time.monotonic() + timeout_seconds
@@ -49,7 +64,7 @@
         _tcp.enable_keepalive(connection)
         connection.sendall(_request(address, method, target, body))
         try:
-            return _receive(connection, deadline)
+            return _receive(connection, deadline, max_body_bytes, on_response)
         except httptools.HttpParserError as error:
             raise OSError(f'response is not valid HTTP: {error}') from error
 
@@ -93,14 +108,20 @@
         self.is_complete = True
 
 
-def _receive(connection: socket.socket, deadline: float) -> Response:
+def _receive(
+    connection: socket.socket,
+    deadline: float,
+    max_body_bytes: int,
+    on_response: typing.Callable[[], None] | None,
+) -> Response:
     """Return the response that arrives on a connection.
 
-    :param deadline: time limit on the monotonic clock.
-    :raises OSError: when the response is not complete by then, or too large.
+    :param deadline: time limit on the monotonic clock until its first part.
+    :raises OSError: when the response stays away, stalls, or is too large.
     """
     parts = _ResponseParts()
     parser = httptools.HttpResponseParser(parts)
+    started_at: float | None = None
     while not parts.is_complete:
         remaining_seconds = deadline - time.monotonic()
         if remaining_seconds <= 0:
@@ -110,11 +131,32 @@
         if not received:
             raise OSError('connection closed before the response was complete')
         parser.feed_data(received)
-        if len(parts.body) > MAX_BODY_BYTES:
-            raise OSError(f'response body exceeds {MAX_BODY_BYTES} bytes')
+        _check_size(parts, max_body_bytes)
+        now = time.monotonic()
+        if started_at is None:
+            started_at = now
+            if on_response is not None:
+                on_response()
+        deadline = _next_deadline(now, started_at, len(parts.body))
     return Response(parser.get_status_code(), parts.body, parts.header_by_name)
 
 
+def _next_deadline(now: float, started_at: float, body_bytes: int) -> float:
+    """Return until when the next part of a response must arrive."""
+    slowest_at = started_at + body_bytes / MIN_BYTES_PER_SECOND
+    return min(now, slowest_at) + STALL_SECONDS
+
+
+def _check_size(parts: _ResponseParts, max_body_bytes: int) -> None:
+    """Reject a body that is too large as soon as its length is announced."""
+    announced = parts.header_by_name.get('content-length', '0')
+    announced_bytes = int(announced) if announced.isdecimal() else 0
+    if max(announced_bytes, len(parts.body)) > max_body_bytes:
+        raise ResponseTooLargeError(
+            f'response body of {announced} bytes exceeds {max_body_bytes} bytes'
+        )
+
+
 def _read_chunk(connection: socket.socket, parts: _ResponseParts) -> bytes:
     try:
         return connection.recv(READ_BYTES)
--- a/src/egretjunction/store.py
+++ b/src/egretjunction/store.py
@@ -74,9 +74,12 @@
 
     Every method blocks the calling thread until the service responds, and raises
     ``errors.PlatformUnavailableError`` when it does not. A write raises the subclass
-    ``errors.NotKnownError`` when it may have taken effect.
+    ``errors.NotKnownError`` when it may have taken effect. ``is_receiving`` tells
+    whether a response is arriving now.
     """
 
+    is_receiving: bool
+
     def get(self, key: str) -> Item:
         """Return the item of a key, with revision 0 when the key does not exist."""
 
--- /dev/null
+++ b/tests/relay/test_http_calls.py
@@ -0,0 +1,80 @@
+"""Blocking HTTP calls over links and servers of all kinds."""
+
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from egretjunction import addresses
+from egretjunction.relay import http_calls
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+
+
+@contextlib.contextmanager
+def _server(parts, pause_seconds):
+    """Yield the address of a server that sends parts of a response with pauses."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection, contextlib.suppress(OSError):
+                connection.recv(65536)
+                for part in parts:
+                    connection.sendall(part)
+                    time.sleep(pause_seconds)
+                connection.recv(1)
+
+        threading.Thread(target=serve, daemon=True).start()
+        yield addresses.Address(*listener.getsockname())
+
+
+def _call(parts, pause_seconds, timeout_seconds=0.3, **options):
+    with _server(parts, pause_seconds) as address:
+        return http_calls.call(address, 'GET', '/', None, timeout_seconds, **options)
+
+
+def test_response_that_makes_progress_is_read_beyond_the_timeout():
+    """Guards against large values that a slow link never carries within a fixed time."""
+    part = b'x' * 20_000
+    started_at = time.monotonic()
+    response = _call([HEAD % 100_000, *[part] * 5], 0.1)
+    assert len(response.body) == 100_000
+    assert time.monotonic() - started_at > 0.5
+
+
+def test_response_that_stalls_is_given_up():
+    started_at = time.monotonic()
+    with pytest.raises(TimeoutError, match='after 5 of 10 bytes'):
+        _call([HEAD % 10 + b'x' * 5], 5.0)
+    assert time.monotonic() - started_at < http_calls.STALL_SECONDS + 0.5
+
+
+def test_response_that_trickles_is_given_up():
+    started_at = time.monotonic()
+    with pytest.raises(TimeoutError, match='of 1000 bytes'):
+        _call([HEAD % 1000, *[b'x'] * 100], 0.1)
+    assert time.monotonic() - started_at < http_calls.STALL_SECONDS + 0.5
+
+
+def test_response_that_stays_away_is_given_up_at_the_timeout():
+    started_at = time.monotonic()
+    with pytest.raises(TimeoutError, match='after 0 of an unknown number'):
+        _call([b''], 5.0)
+    assert time.monotonic() - started_at < 0.8
+
+
+def test_too_large_response_is_refused_by_its_announced_length():
+    """Guards against megabytes that are read only to be thrown away."""
+    started_at = time.monotonic()
+    with pytest.raises(http_calls.ResponseTooLargeError, match='1000 bytes'):
+        _call([HEAD % 1000, *[b'x'] * 100], 0.1, max_body_bytes=500)
+    assert time.monotonic() - started_at < 0.3
+
+
+def test_beginning_of_a_response_is_reported():
+    begun = []
+    _call([HEAD % 1, b'x'], 0.0, on_response=lambda: begun.append(1))
+    assert begun == [1]
