Read the newest version instead of every one since the last

Cause: a watch returns every change since its revision, each with the whole value. What has to be read grows with the time that one is behind, until the response exceeds the limit of 4 MiB; the retry from the same revision exceeds it too.

Change: a watch reads at most twice what the items themselves hold. Larger changes are refused at their announced length, and the items are listed again, from whose revision the next watch goes on (changes_too_large). That holds for every prefix that is followed.

--- a/src/egretjunction/relay/_following.py
+++ b/src/egretjunction/relay/_following.py
@@ -3,6 +3,10 @@
 A revision means something only in the era in which it was learned. A store that is
 restored from an older copy gives revisions out again, so that a watch from a known one
 may be accepted and yet miss what was written before it.
+
+A watch returns every change since its revision, so that what has to be read grows with
+the time that one is behind. Changes that are larger than the items themselves are not
+read; the items are listed again instead.
 """
 
 import itertools
@@ -17,6 +21,7 @@
 # restore within a shorter one, without a failed call, is noticed when that wait ends.
 MAX_GAP_SECONDS = 0.1
 CONFIRMING_WAIT_SECONDS = 0.001
+LISTINGS_PER_WATCH = 2  # changes may be as large as this many listings
 
 
 def follow_prefix(
@@ -65,20 +70,22 @@
 ) -> None:
     """Watch a prefix from a listing for as long as no change can have been missed.
 
-    Returns when the store no longer keeps the changes, or was restored since.
+    Returns when the store no longer keeps the changes or was restored since, or when
+    they are larger than a listing.
 
     :param choose_wait_seconds: returns the longest duration of the next watch call.
     :param on_changes: called after each watch call, also without a change.
     :param on_reached: called after each watch call with whether it was answered.
     """
     revision = listing.revision
+    max_data_bytes = _max_data_bytes(listing.items)
     answered_at = _now()
 
     def watch() -> store.Changes:
         is_recent = _now() - answered_at <= MAX_GAP_SECONDS
         wait_seconds = choose_wait_seconds() if is_recent else CONFIRMING_WAIT_SECONDS
         try:
-            changes = store_client.watch(prefix, revision, wait_seconds)
+            changes = store_client.watch(prefix, revision, wait_seconds, max_data_bytes)
         except errors.PlatformUnavailableError:
             on_reached(False)
             raise
@@ -91,6 +98,9 @@
         except store.HistoryGoneError:
             log('history_gone', prefix=prefix, revision=revision, era=listing.era)
             return
+        except store.ChangesTooLargeError as error:
+            log('changes_too_large', prefix=prefix, revision=revision, error=str(error))
+            return
         if changes.era != listing.era:
             log(
                 'watch_answered_in_other_era',
@@ -104,6 +114,12 @@
         answered_at = _now()
         on_changes(changes)
         revision = max(revision, changes.revision)
+        max_data_bytes = max(max_data_bytes, _max_data_bytes(changes.written))
+
+
+def _max_data_bytes(items: typing.Iterable[store.Item]) -> int:
+    """Return the limit for the changes of items, by the size of their values."""
+    return LISTINGS_PER_WATCH * sum(len(item.data) for item in items)
 
 
 def _now() -> float:
--- a/src/egretjunction/store.py
+++ b/src/egretjunction/store.py
@@ -69,6 +69,10 @@
     """The service no longer keeps the changes after a revision."""
 
 
+class ChangesTooLargeError(Exception):
+    """The changes after a revision are larger than the caller wants to read."""
+
+
 class Store(typing.Protocol):
     """Blocking client of the service.
 
@@ -90,14 +94,18 @@
         :param allow_stale: whether the listing may be seconds old, which costs less.
         """
 
-    def watch(self, prefix: str, revision: int, wait_seconds: float) -> Changes:
+    def watch(
+        self, prefix: str, revision: int, wait_seconds: float, max_data_bytes: int
+    ) -> Changes:
         """Wait for changes after a revision.
 
         :param prefix: prefix of the watched keys.
         :param revision: only later changes are returned.
         :param wait_seconds: longest wait for a change.
+        :param max_data_bytes: limit for the values of all changes together.
         :return: the changes, none when the wait timed out.
         :raises HistoryGoneError: when the service no longer keeps them.
+        :raises ChangesTooLargeError: when they exceed the limit.
         """
 
     def put(self, key: str, data: bytes) -> None:
--- a/tests/platform/test_kv_store.py
+++ b/tests/platform/test_kv_store.py
@@ -11,6 +11,8 @@
 from egretjunction import store
 from tests.platform import store_standin
 
+MAX_DATA_BYTES = 1000
+
 
 @pytest.fixture
 def store_and_client():
@@ -42,7 +44,7 @@
 def test_watch_returns_written_items_and_deleted_keys(store_and_client):
     state, client = store_and_client
     state.write({'p/1': b'a', 'p/2': b'b', 'q/1': b'c'}, ['p/1'])
-    changes = client.watch('p/', 1, 0.5)
+    changes = client.watch('p/', 1, 0.5, MAX_DATA_BYTES)
     assert [item.key for item in changes.written] == ['p/2']
     assert changes.deleted == ['p/1']
     assert changes.revision == state.revision
@@ -53,14 +55,14 @@
     state, client = store_and_client
     state.write({'p/1': b'a'}, ['p/1'])
     state.write({'p/1': b'b'}, [])
-    changes = client.watch('p/', 1, 0.5)
+    changes = client.watch('p/', 1, 0.5, MAX_DATA_BYTES)
     assert [(item.key, item.data) for item in changes.written] == [('p/1', b'b')]
     assert not changes.deleted
 
 
 def test_watch_without_changes_returns_after_its_wait(store_and_client):
     started_at = time.monotonic()
-    changes = store_and_client[1].watch('p/', 1, 0.1)
+    changes = store_and_client[1].watch('p/', 1, 0.1, MAX_DATA_BYTES)
     assert not changes.written
     assert time.monotonic() - started_at < 1
 
@@ -69,7 +71,7 @@
     state, client = store_and_client
     state.oldest_revision = 9
     with pytest.raises(store.HistoryGoneError):
-        client.watch('p/', 1, 0.1)
+        client.watch('p/', 1, 0.1, MAX_DATA_BYTES)
 
 
 @pytest.mark.parametrize('status', [429, 503])
@@ -104,7 +106,7 @@
         client = kv_store.KvStore(addresses.Address(*silent_listener.getsockname()))
         started_at = time.monotonic()
         with pytest.raises(errors.PlatformUnavailableError):
-            client.watch('p/', 1, 0.1)
+            client.watch('p/', 1, 0.1, MAX_DATA_BYTES)
         assert time.monotonic() - started_at < 2
 
 
@@ -125,7 +127,7 @@
     assert client.get('p/1') == store.Item('p/1', b'', 0, era=2)
     listing = client.list_prefix('p/')
     assert (listing.era, [item.era for item in listing.items]) == (2, [2])
-    assert client.watch('p/', 1, 0.1).era == 2
+    assert client.watch('p/', 1, 0.1, MAX_DATA_BYTES).era == 2
 
 
 def test_listing_with_pages_of_two_eras_raises_unavailable(store_and_client):
@@ -156,5 +158,5 @@
     assert client.get('p/1') == store.Item('p/1', b'', 2, era=1)
     listing = client.list_prefix('p/')
     assert [item.data for item in listing.items] == [b'', b'b']
-    changes = client.watch('p/', 1, 0.1)
+    changes = client.watch('p/', 1, 0.1, MAX_DATA_BYTES)
     assert [item.data for item in changes.written] == [b'', b'b']
--- a/tests/relay/test_following.py
+++ b/tests/relay/test_following.py
@@ -30,8 +30,9 @@
         self.waits = []
         self.reached = []
 
-    def watch(self, _prefix, revision, wait_seconds):
+    def watch(self, _prefix, revision, wait_seconds, max_data_bytes):
         self.waits.append((revision, wait_seconds))
+        self.max_data_bytes = max_data_bytes
         result = self.results.pop(0)
         if isinstance(result, Exception):
             raise result
@@ -92,3 +93,18 @@
     assert not delivered
     assert events == ['watch_answered_in_other_era']
     assert len(client.waits) == 1
+
+
+def test_changes_larger_than_the_listing_end_the_watch(clock):
+    """Guards against reading each version when only the newest one is wanted."""
+    client, events = _watch([store.ChangesTooLargeError('much')])
+    assert events == ['changes_too_large']
+    assert client.max_data_bytes == 0
+
+
+def test_limit_of_changes_follows_the_largest_value(clock):
+    item = store.Item('p/1', b'x' * 1000, 8, 1)
+    client, _ = _watch(
+        [store.Changes([item], [], 8, 1), store.Changes([], [], 9, 1)], lambda _: None
+    )
+    assert client.max_data_bytes == 2000
