An agent whose server has ended denies flows that it doesn't know

Cause: absence of knowledge taken for knowledge, twice. An agent that was started after its server asks the server about unknown flows. A dead server answers nothing, so the flow stayed in question, and was reset with the server's own flows when the server counted as lost. Until then, silence counted as proof that the server holds the flow.

Change: flows in question are denied, not reset, when the server is lost or restarted; a lost server counts as one that holds nothing, so that searches are denied at once. Silence proves a flow only after a sign of life of the server, a packet or a heartbeat, that came after the question. Unanswered questions make an overdue server count as lost, as unanswered packets do.

Three new tests of decisions failed before. test_late_bounce_after_silence_returns_the_packet gave no sign of life and relied on bare silence; it now has the server answer another flow first, and asserts the same.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -17,6 +17,7 @@
 from egretjunction.wire import relaying
 
 PROBE_TIMEOUT_SECONDS = 0.03  # servers bounce packets of unknown flows within 1 ms
+MAX_PROBE_SECONDS = 3.0  # a server that has ended counts as lost before
 ENDED_FLOW_SECONDS = 3.0  # keeps the record of an ended flow for its late packets
 ENTRY_EXPIRY_SECONDS = 10.0  # silent entries then get no more status messages
 MAX_FLOWS = 20_000
@@ -172,7 +173,7 @@
             ]
         emitted: list[effects.Effect] = []
         if change is relay_server.HeartbeatChange.RESTARTED:
-            emitted += self._reset_all('server_restarted')
+            emitted += self._discard_all('server_restarted', now)
         self._backlog.configure(self.server.slots, self.server.cold_ms(now), now)
         if change is not relay_server.HeartbeatChange.NOTHING:
             emitted.append(
@@ -214,14 +215,14 @@
             emitted += self._reports.pop_due(self.status(now), self.server.name, now)
         self.server.discount_pause(pause_seconds)
         for pending in self._probe_by_token.values():
-            pending.expires_at += pause_seconds
+            pending.discount_pause(pause_seconds)
         for token, probe in list(self._probe_by_token.items()):
-            if now >= probe.expires_at:
+            if now >= probe.expires_at and not _is_undecided(probe, self.server, now):
                 self._probe_by_token.pop(token)
                 emitted += self._on_probe_expired(probe, now)
         if self.server.is_lost(now) and self._flow_by_key:
             emitted.append(effects.Log('server_lost', server=self.server.name))
-            emitted += self._reset_all('server_lost')
+            emitted += self._discard_all('server_lost', now)
         self._remove_expired(now)
         for entry in self._announcer.pop_due(now):
             announcement = self._announcer.announcement(
@@ -333,7 +334,7 @@
         self.server.record_sent(now)
         self.cold_limit.take(now)
         token = self._add_probe(
-            packet, entry, offer.token, now + self._codec.opening.timeout_seconds
+            packet, entry, offer.token, now, self._codec.opening.timeout_seconds
         )
         return [effects.ToServer(offer.packet, token)]
 
@@ -433,6 +434,9 @@
         packet = self._codec.from_client(ask.packet)
         flow = self._flow_by_key.get(packet.key)
         if flow is None or flow.is_provisional:
+            if self.server.holds_nothing(now):
+                denied = relaying.NotHeld([ask.token], self.status(now))
+                return [effects.Send(entry, denied)]
             return self._probe_server(packet, entry, ask.token, now)
         if not _matches_packet(flow, packet):
             denied = relaying.NotHeld([ask.token], self.status(now))
@@ -459,7 +463,7 @@
         flow.acknowledged = packet.acknowledged
         self._requests.record_sent(packet, now)
         self.server.record_probe(now)
-        probe_token = self._add_probe(packet, entry, token, now + PROBE_TIMEOUT_SECONDS)
+        probe_token = self._add_probe(packet, entry, token, now, PROBE_TIMEOUT_SECONDS)
         return [effects.ToServer(packet.raw, probe_token)]
 
     def _on_ping(
@@ -486,10 +490,11 @@
         packet: packets.Packet,
         entry: addresses.Address,
         token: int,
-        expires_at: float,
+        now: float,
+        timeout_seconds: float,
     ) -> int:
         self._last_token = self._last_token % (packets.SEQUENCE_RANGE - 1) + 1
-        probe = relay_flows.Probe(packet, entry, token, expires_at)
+        probe = relay_flows.Probe(packet, entry, token, now, now + timeout_seconds)
         self._probe_by_token[self._last_token] = probe
         return self._last_token
 
@@ -498,8 +503,9 @@
     ) -> list[effects.Effect]:
         """Handle a probe that the server did not bounce in time.
 
-        Servers bounce packets of unknown flows, so that silence means that the server
-        holds the flow. The record of an unanswered first packet is removed.
+        Servers bounce packets of unknown flows, so that the silence of a server that
+        lives means that it holds the flow. The record of an unanswered first packet is
+        removed.
         """
         flow = self._flow_by_key.get(probe.key)
         if probe.is_first:
@@ -508,10 +514,12 @@
             return []
         if flow is None or not flow.is_provisional:
             return []
-        if self.server.is_absent(now):
+        if self.server.holds_nothing(now):
             self._remove_flow(probe.key)
             return [_denial_message(probe, self.status(now))]
-        if not self.server.has_been_seen() or self.server.is_unresponsive(now):
+        if not self.server.is_heard_since(probe.sent_at):
+            return []
+        if self.server.is_unresponsive(now):
             return []
         return self._accept_provisional(probe.key, flow, now)
 
@@ -583,11 +591,21 @@
         self._flow_by_key.pop(key, None)
         self._requests.remove(key)
 
-    def _reset_all(self, reason: str) -> list[effects.Effect]:
+    def _discard_all(self, reason: str, now: float) -> list[effects.Effect]:
+        """Reset the flows of a server that has ended, and deny those in question.
+
+        A provisional flow may be one of another server.
+        """
         emitted: list[effects.Effect] = [
             effects.Reset(key, flow.acknowledged, reason)
             for key, flow in self._flow_by_key.items()
-            if flow.is_open and flow.ended_at is None
+            if flow.is_open and not flow.is_provisional and flow.ended_at is None
+        ]
+        status = self.status(now)
+        emitted += [
+            _denial_message(probe, status)
+            for probe in self._probe_by_token.values()
+            if not probe.is_first
         ]
         self._flow_by_key.clear()
         self._probe_by_token.clear()
@@ -621,6 +639,19 @@
     return not flows.server.is_expected(now) and not flows.active_requests(now)
 
 
+def _is_undecided(
+    probe: relay_flows.Probe, server: relay_server.Server, now: float
+) -> bool:
+    """Tell whether to wait longer for a sign that the server lives.
+
+    A server that has ended without a notice is as silent as one that holds the flow.
+    """
+    if probe.is_first or server.holds_nothing(now):
+        return False
+    is_heard = server.is_heard_since(probe.sent_at)
+    return not is_heard and now - probe.sent_at < MAX_PROBE_SECONDS
+
+
 def _existing_flow(now: float) -> relay_flows.Flow:
     """Return the record of a flow that the server held before this process started."""
     flow = relay_flows.Flow(now)
--- a/src/egretjunction/decisions/relay_flows.py
+++ b/src/egretjunction/decisions/relay_flows.py
@@ -54,16 +54,26 @@
     :param packet: the packet that was sent.
     :param entry: entry that sent the packet to this agent.
     :param token: the entry's token for its offer or search, or 0.
+    :param sent_at: time at which it was sent.
     :param expires_at: time after which the probe counts as unanswered.
     """
 
-    __slots__ = ('entry', 'expires_at', 'is_first', 'key', 'packet', 'token')
+    __slots__ = (
+        'entry',
+        'expires_at',
+        'is_first',
+        'key',
+        'packet',
+        'sent_at',
+        'token',
+    )
 
     def __init__(
         self,
         packet: packets.Packet,
         entry: addresses.Address,
         token: int,
+        sent_at: float,
         expires_at: float,
     ) -> None:
         self.key = packet.key
@@ -71,4 +81,10 @@
         self.is_first = packet.is_first
         self.entry = entry
         self.token = token
+        self.sent_at = sent_at
         self.expires_at = expires_at
+
+    def discount_pause(self, seconds: float) -> None:
+        """Exclude a pause of this process from the time without an answer."""
+        self.sent_at += seconds
+        self.expires_at += seconds
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -147,6 +147,7 @@
         self._last_heartbeat = heartbeat
         self._last_heartbeat_at = now
         self._unanswered_since = math.inf
+        self._probed_since = math.inf
         self._cold_until = now + heartbeat.cold_ms / 1000
         if is_restarted:
             return HeartbeatChange.RESTARTED
@@ -185,6 +186,7 @@
         """Record that the server sent a packet."""
         self._last_packet_at = now
         self._unanswered_since = math.inf
+        self._probed_since = math.inf
 
     def discount_pause(self, seconds: float) -> None:
         """Exclude a pause of this process from the silence of the server."""
@@ -210,9 +212,17 @@
             return False
         return now - self._probed_since > ANSWER_TIMEOUT_SECONDS
 
+    def holds_nothing(self, now: float) -> bool:
+        """Tell whether the server has ended, so that it holds no flow."""
+        return self.is_gone or self.is_absent(now) or self.is_lost(now)
+
     def knows_all_flows(self, now: float) -> bool:
         """Tell whether a flow without a record at the agent is none of the server's."""
-        return self.is_known_since_start or self.is_gone or self.is_absent(now)
+        return self.is_known_since_start or self.holds_nothing(now)
+
+    def is_heard_since(self, moment: float) -> bool:
+        """Tell whether the server has sent a packet or a heartbeat since a moment."""
+        return max(self._last_packet_at, self._last_heartbeat_at) > moment
 
     def is_unresponsive(self, now: float) -> bool:
         """Tell whether an answer is outstanding for longer than servers take."""
@@ -226,7 +236,8 @@
         is_overdue = (
             now - max(self._last_heartbeat_at, self._last_packet_at) > overdue_seconds
         )
-        return is_overdue and now - self._unanswered_since > LOST_AFTER_SECONDS
+        unanswered_since = min(self._unanswered_since, self._probed_since)
+        return is_overdue and now - unanswered_since > LOST_AFTER_SECONDS
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the server is slow after its start."""
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -168,6 +168,50 @@
     assert not build.sent_messages(agent.tick(0.2), relaying.Held)
 
 
+def _search_beside_dead_server(until):
+    """Ask an agent for a flow 5 s after its server, older than it, has crashed.
+
+    Return what the agent sends until some seconds after the question.
+    """
+    agent = build.agent(is_known_since_start=False)
+    asked_at = 5.0
+    ask = relaying.Ask(5, build.request().raw)
+    emitted = agent.on_message(ask, build.ENTRY, asked_at)
+    for number in range(1, round(until / 0.025)):
+        emitted += agent.tick(asked_at + number * 0.025)
+    return emitted, agent
+
+
+def test_flow_of_another_server_is_denied_beside_a_server_that_crashed():
+    """Guards against resets of living servers' flows by an agent that knows none."""
+    emitted, agent = _search_beside_dead_server(3)
+    assert not build.of_type(emitted, effects.Reset)
+    assert not build.sent_messages(emitted, relaying.Held)
+    denials = build.sent_messages(emitted, relaying.NotHeld)
+    assert [denied.tokens for denied, _ in denials] == [[5]]
+    assert agent.flow_count == 0
+    again = agent.on_message(relaying.Ask(6, build.request().raw), build.ENTRY, 9)
+    ((denied, _),) = build.sent_messages(again, relaying.NotHeld)
+    assert denied.tokens == [6]
+    assert not build.of_type(again, effects.ToServer)
+
+
+def test_silence_is_no_proof_of_a_flow_while_the_server_gives_no_sign_of_life():
+    """Guards against a flow that moves to an agent whose server has just crashed."""
+    emitted, _ = _search_beside_dead_server(0.9)
+    assert not build.sent_messages(emitted, relaying.Held)
+    assert not build.sent_messages(emitted, relaying.NotHeld)
+
+
+def test_silence_proves_a_flow_once_the_server_gives_a_sign_of_life():
+    agent = build.agent(is_known_since_start=False)
+    agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 5.0)
+    assert not build.sent_messages(agent.tick(5.1), relaying.Held)
+    agent.on_heartbeat(build.heartbeat(sequence=99), 5.2)
+    ((held, _),) = build.sent_messages(agent.tick(5.21), relaying.Held)
+    assert held.token == 5
+
+
 POWERED_UP_AT = 10.0
 
 
@@ -267,6 +311,7 @@
     agent = build.agent(is_known_since_start=False)
     emitted = agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
     (to_server,) = build.of_type(emitted, effects.ToServer)
+    agent.on_server_packet(build.answer(build.flow_key(9)), 0.04)
     assert build.sent_messages(agent.tick(0.05), relaying.Held)
     emitted = agent.on_server_packet(
         build.bounced(build.request(), to_server.token), 0.06
