A backend server that starts again after its clock went back is followed

Cause: incarnations were ordered by their start times alone, which come from a clock that can be set back. Every heartbeat of the newer incarnation counted as a late one of the older, and was acknowledged all the same.

Change: a lower start time is accepted once a second heartbeat of that incarnation follows, half an interval or more after the first, and none of the known incarnation in between; only a living server goes on sending. A server that has left is replaced at once. An incarnation that was replaced doesn't come back. Heartbeats that are not taken, also those of another service, are answered with 409 (heartbeat_rejected).

The tests of decisions fail on the code before, which rejects the second incarnation for good and takes one that was replaced for a newer one.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -171,6 +171,16 @@
                     'heartbeat_stale', server=heartbeat.name, born=heartbeat.born
                 )
             ]
+        if change is relay_server.HeartbeatChange.REJECTED:
+            return [
+                effects.Log(
+                    'heartbeat_rejected',
+                    server=heartbeat.name,
+                    service=heartbeat.service,
+                    born=heartbeat.born,
+                    followed=self.server.name,
+                )
+            ]
         emitted: list[effects.Effect] = []
         if change is relay_server.HeartbeatChange.RESTARTED:
             emitted += self._discard_all('server_restarted', now)
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -1,5 +1,6 @@
 """An agent's view of the state of its backend server."""
 
+import collections
 import enum
 import math
 
@@ -12,15 +13,23 @@
 ABSENT_HEARTBEATS = 1.25
 # A supervisor waits at least this long before it starts an ended process again.
 MIN_RESTART_SECONDS = 0.1
+# Of the interval; heartbeats that a partition held up arrive closer to each other.
+REPEATED_HEARTBEATS = 0.5
+MAX_PAST_INCARNATIONS = 16
 MILLISECONDS_PER_SECOND = 1_000
 DEFAULT_SLOTS = 2
 
 
 class HeartbeatChange(enum.Enum):
-    """What a heartbeat changed in the known state of the server."""
+    """What a heartbeat changed in the known state of the server.
+
+    A stale heartbeat is an older one of the same incarnation, a rejected one of another
+    service or of an incarnation that is not the newest one, as far as known.
+    """
 
     NOTHING = 'nothing'
     STALE = 'stale'
+    REJECTED = 'rejected'
     CHANGED = 'changed'
     RESTARTED = 'reborn'
 
@@ -80,11 +89,14 @@
     """
 
     __slots__ = (
+        '_candidate',
+        '_candidate_at',
         '_cold_until',
         '_heartbeat_seconds',
         '_last_heartbeat',
         '_last_heartbeat_at',
         '_last_packet_at',
+        '_past_borns',
         '_probed_since',
         '_started_at',
         '_unanswered_since',
@@ -101,6 +113,11 @@
         self._probed_since = math.inf
         self._heartbeat_seconds = heartbeat_seconds
         self._last_heartbeat: Heartbeat | None = None
+        self._candidate: Heartbeat | None = None
+        self._candidate_at = -math.inf
+        self._past_borns: collections.deque[int] = collections.deque(
+            maxlen=MAX_PAST_INCARNATIONS
+        )
         self._last_heartbeat_at = -math.inf
         self._last_packet_at = -math.inf
         self._unanswered_since = math.inf
@@ -121,21 +138,25 @@
     def record_heartbeat(
         self, heartbeat: Heartbeat, now: float, age_seconds: float = math.inf
     ) -> HeartbeatChange:
-        """Record a heartbeat unless it is stale, and return what it changed.
+        """Record a heartbeat unless it is stale or rejected; return what it changed.
 
         :param heartbeat: the heartbeat.
         :param now: the time in seconds.
         :param age_seconds: time since the server's start by the time of day.
         """
         if heartbeat.service != self.service:
-            return HeartbeatChange.STALE
+            return HeartbeatChange.REJECTED
         previous = self._last_heartbeat
-        if previous and (heartbeat.born, heartbeat.sequence) <= (
-            previous.born,
-            previous.sequence,
-        ):
-            return HeartbeatChange.STALE
         is_restarted = previous is not None and heartbeat.born != previous.born
+        if previous is not None and not is_restarted:
+            self._candidate = None
+            if heartbeat.sequence <= previous.sequence:
+                return HeartbeatChange.STALE
+        if previous is not None and is_restarted:
+            if not self._is_successor(heartbeat, previous, now):
+                return HeartbeatChange.REJECTED
+            self._candidate = None
+            self._past_borns.append(previous.born)
         is_changed = previous is None or previous.is_draining != heartbeat.is_draining
         if is_restarted or previous is None:
             self.is_known_since_start = (
@@ -153,6 +174,39 @@
             return HeartbeatChange.RESTARTED
         return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
 
+    def _is_successor(
+        self, heartbeat: Heartbeat, previous: Heartbeat, now: float
+    ) -> bool:
+        """Tell whether a heartbeat is of an incarnation that replaces the known one.
+
+        A lower start time is that of an older incarnation whose heartbeat was held up,
+        or that of a newer one after the clock was set back. Only a living server goes
+        on sending heartbeats, while the known one sends none.
+        """
+        if heartbeat.born in self._past_borns:
+            return False
+        if heartbeat.born > previous.born or self.is_gone:
+            return True
+        candidate = self._candidate
+        if candidate is None or candidate.born != heartbeat.born:
+            self._candidate = heartbeat
+            self._candidate_at = now
+            return False
+        waited_seconds = now - self._candidate_at
+        is_repeated = heartbeat.sequence > candidate.sequence
+        return is_repeated and (
+            waited_seconds >= REPEATED_HEARTBEATS * self._heartbeat_seconds
+        )
+
+    def has_taken(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a heartbeat is one of the incarnation that is followed."""
+        followed = self._last_heartbeat
+        return (
+            followed is not None
+            and heartbeat.service == self.service
+            and heartbeat.born == followed.born
+        )
+
     def _has_started_with_agent(
         self, heartbeat: Heartbeat, now: float, age_seconds: float
     ) -> bool:
@@ -192,6 +246,7 @@
         """Exclude a pause of this process from the silence of the server."""
         self._last_heartbeat_at += seconds
         self._last_packet_at += seconds
+        self._candidate_at += seconds
         self._unanswered_since += seconds
         self._started_at += seconds
         self._probed_since += seconds
--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -12,6 +12,7 @@
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
+CONFLICT = 409
 UNAVAILABLE = 503
 MAX_BODY_BYTES = 65_536  # a heartbeat has a few hundred bytes
 MAX_CONNECTIONS = 128
@@ -22,6 +23,7 @@
         OK: 'OK',
         BAD_REQUEST: 'Bad Request',
         NOT_FOUND: 'Not Found',
+        CONFLICT: 'Conflict',
         UNAVAILABLE: 'Service Unavailable',
     },
 )
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -209,6 +209,8 @@
                 self._flows.on_heartbeat(announcement, now, age_seconds)
             )
             self._list_once_server_is_seen()
+            if not self._server.has_taken(announcement):
+                return _http.CONFLICT, b'{}'
         return _http.OK, b'{}'
 
     def _tick(self) -> None:
--- /dev/null
+++ b/tests/decisions/test_relay_server.py
@@ -0,0 +1,84 @@
+"""What an agent believes of its backend server."""
+
+import pytest
+
+from egretjunction.decisions import relay_server
+from egretjunction.wire import relaying
+from tests import relay_builders as build
+
+INTERVAL_SECONDS = 1.0
+CHANGE = relay_server.HeartbeatChange
+
+
+def _server():
+    """Return a server that was heard of at 0, and started at 5000."""
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS)
+    server.record_heartbeat(build.heartbeat('i-1', 5000, 1), 0)
+    return server
+
+
+def test_server_started_again_after_the_clock_went_back_is_followed():
+    """Guards against an accepted draining that is never applied."""
+    server = _server()
+    again = build.heartbeat('i-1', 4000, 1)
+    assert server.record_heartbeat(again, 1.0) is CHANGE.REJECTED
+    assert not server.has_taken(again)
+    again = build.heartbeat('i-1', 4000, 2, is_draining=True, cold_ms=900)
+    assert server.record_heartbeat(again, 2.0) is CHANGE.RESTARTED
+    assert server.has_taken(again)
+    assert server.state(2.0) is relaying.State.DRAINING
+    assert server.is_cold(2.8)
+    assert server.is_known_since_start
+
+
+def test_heartbeats_of_an_older_incarnation_that_were_held_up_are_rejected():
+    server = _server()
+    for sequence in (7, 8, 9):
+        late = build.heartbeat('i-0', 4000, sequence)
+        assert server.record_heartbeat(late, 0.5) is CHANGE.REJECTED
+    assert server.name == 'i-1'
+
+
+def test_incarnation_with_a_lower_start_waits_while_the_known_one_lives():
+    server = _server()
+    for number in range(1, 9):
+        other = build.heartbeat('i-0', 4000, number)
+        assert server.record_heartbeat(other, number) is CHANGE.REJECTED
+        own = build.heartbeat('i-1', 5000, number + 1)
+        assert server.record_heartbeat(own, number + 0.5) is CHANGE.NOTHING
+
+
+@pytest.mark.parametrize('born', [4000, 6000])
+def test_replaced_incarnation_does_not_come_back(born):
+    """Guards against flows that are reset for a heartbeat that was held up."""
+    server = _server()
+    for sequence in (1, 2):
+        server.record_heartbeat(build.heartbeat('i-2', born, sequence), sequence)
+    assert server.name == 'i-2'
+    for sequence in (30, 31, 32):
+        late = build.heartbeat('i-1', 5000, sequence)
+        assert server.record_heartbeat(late, sequence) is CHANGE.REJECTED
+    assert server.name == 'i-2'
+
+
+def test_server_that_left_is_replaced_at_once_whatever_the_clock_says():
+    server = _server()
+    server.record_leave('i-1')
+    successor = build.heartbeat('i-2', 4000, 1)
+    assert server.record_heartbeat(successor, 1) is CHANGE.RESTARTED
+
+
+def test_older_heartbeat_of_the_same_incarnation_is_stale_but_acknowledged():
+    server = _server()
+    server.record_heartbeat(build.heartbeat('i-1', 5000, 5), 1)
+    late = build.heartbeat('i-1', 5000, 4)
+    assert server.record_heartbeat(late, 1.1) is CHANGE.STALE
+    assert server.has_taken(late)
+
+
+def test_heartbeat_of_another_service_is_rejected():
+    server = _server()
+    other = build.heartbeat('i-1', 6000, 9)
+    other.service = 'nobody'
+    assert server.record_heartbeat(other, 1) is CHANGE.REJECTED
+    assert not server.has_taken(other)
