A restarted agent learns from entries that its server is older than it

Cause: after a power loss an agent may take itself for as old as its server, and then denies flows that it has no record of. It compared the server's age by the time of day with its own uptime; a clock that was set back since the server's start makes a restarted agent look as old as the server.

Change: the status of an agent names the incarnation of its server and the process that reports it. An entry that hears of one incarnation from two processes tells the agent at once, with a ping; the agent then asks its server about unknown flows (server_older_than_ agent). Storing the incarnation in the store was weighed: one more write for each start of a server, and no answer while the store is away.

Not covered: the same step when all entries end with the agent.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -33,6 +33,7 @@
     :param max_flow_seconds: age from which a flow may be dropped.
     :param announcer: makes the agent known to entries.
     :param cold_limit: bounds first packets while the server is cold; None for no limit.
+    :param process: random number that tells this process from others of the agent.
     """
 
     def __init__(
@@ -42,7 +43,9 @@
         max_flow_seconds: float,
         announcer: relay_announcing.Announcer,
         cold_limit: relay_cold.ColdLimit | None = None,
+        process: int = 0,
     ) -> None:
+        self._process = process
         self.cold_limit = cold_limit or relay_cold.ColdLimit(server.is_cold)
         self._announcer = announcer
         self._max_flow_seconds = max_flow_seconds
@@ -268,6 +271,8 @@
             wait_ms=self._requests.wait_ms(now),
             request_ms=self._backlog.request_ms,
             failure_percent=self._backlog.outcomes.failure_percent(now),
+            server_born=self.server.born,
+            process=self._process,
         )
 
     def announce(
@@ -489,7 +494,12 @@
             ping.is_evacuated, ping.evacuation_era, ping.evacuation_revision
         )
         figure = self.cold_limit.record_figure(ping.cold_per_second, ping.version)
-        events = self.own_domain.record(claim, str(entry))
+        events: list[effects.Effect] = list(self.own_domain.record(claim, str(entry)))
+        if self.server.record_predecessor(ping.older_server_born):
+            predecessor_event = effects.Log(
+                'server_older_than_agent', server=self.server.name, source=str(entry)
+            )
+            events.append(predecessor_event)
         if events:
             return [*figure, *events, *self.broadcast_status(now)]
         pong = relaying.Pong(self._service_tag, self.status(now))
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -117,6 +117,7 @@
             return [effects.Log('agent_unknown', agent=str(agent))]
         status = message.status
         before = member.status
+        known_older_born = member.older_server_born
         if status.is_evacuated and not before.is_evacuated:
             self.review_waiting_offers(now)
         if self._placer is None:
@@ -126,6 +127,8 @@
         self._searches.note_status(member, before)
         self.newest_version = max(self.newest_version, status.version)
         emitted = handler(message, member, now)
+        if member.older_server_born != known_older_born:
+            emitted.append(self._ping(member, now))
         emitted += self._offer_waiting_to(member, now)
         if before.state == status.state:
             return emitted
@@ -177,16 +180,7 @@
             emitted += self._placer.pop_events()
             emitted += self._serve_waiting(self._placer, now)
         for member in self.members.due_for_ping(now):
-            member.pinged_at = now
-            member.record_request(now)
-            ping = relaying.Ping(
-                self.routes.version,
-                not member.is_listed,
-                self.members.can_vouch,
-                *self.members.evacuations.claim(member.domain, now),
-                cold_per_second=self.routes.cold_per_second(member.service),
-            )
-            emitted.append(effects.Send(member.address, ping))
+            emitted.append(self._ping(member, now))
         if now - self._last_reoffer_at >= REOFFER_INTERVAL_SECONDS:
             self._last_reoffer_at = now
             emitted.extend(self._offer_waiting_to_all(now))
@@ -201,6 +195,19 @@
             self._remove_expired(now)
         return emitted
 
+    def _ping(self, member: relay_members.Member, now: float) -> effects.Send:
+        member.pinged_at = now
+        member.record_request(now)
+        ping = relaying.Ping(
+            self.routes.version,
+            not member.is_listed,
+            self.members.can_vouch,
+            *self.members.evacuations.claim(member.domain, now),
+            cold_per_second=self.routes.cold_per_second(member.service),
+            older_server_born=member.older_server_born,
+        )
+        return effects.Send(member.address, ping)
+
     def _on_first_packet(
         self, packet: packets.Packet, now: float
     ) -> list[effects.Effect]:
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -37,6 +37,8 @@
     holds the agent's key. ``is_mistaken`` tells that its address answers for another
     service than the listed one: the key is one of an agent that left.
     ``is_domain_evacuated`` tells that this entry knows its domain to be evacuated.
+    ``older_server_born`` names the incarnation of its server that two processes of the
+    agent have reported, 0 if there is none.
 
     :param name: name of the agent.
     :param service: service of its backend server.
@@ -45,6 +47,8 @@
     """
 
     __slots__ = (
+        '_reported_born',
+        '_reporting_process',
         'address',
         'domain',
         'is_domain_evacuated',
@@ -53,6 +57,7 @@
         'last_status_at',
         'name',
         'offered_flows',
+        'older_server_born',
         'pinged_at',
         'service',
         'status',
@@ -79,6 +84,9 @@
         self.pinged_at = -math.inf
         self.used_at = -math.inf
         self.offered_flows = 0
+        self.older_server_born = 0
+        self._reported_born = 0
+        self._reporting_process = 0
         self.status = relaying.Status(relaying.State.STARTING, 0, 0, 1, 0)
 
     def record_request(self, now: float) -> None:
@@ -91,6 +99,13 @@
         self.offered_flows = 0
         self.last_status_at = now
         self.unanswered_since = math.inf
+        if not status.server_born:
+            return
+        is_same_server = status.server_born == self._reported_born
+        if is_same_server and status.process != self._reporting_process:
+            self.older_server_born = status.server_born
+        self._reported_born = status.server_born
+        self._reporting_process = status.process
 
     def silent_seconds(self, now: float) -> float:
         """Return how long an answer of the agent has been outstanding."""
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -130,6 +130,11 @@
         """Return the server's name, or an empty string before its first heartbeat."""
         return self._last_heartbeat.name if self._last_heartbeat else ''
 
+    @property
+    def born(self) -> int:
+        """Return the server's start time, 0 before its first heartbeat."""
+        return self._last_heartbeat.born if self._last_heartbeat else 0
+
     @property
     def slots(self) -> int:
         """Return how many requests the server runs concurrently."""
@@ -198,6 +203,17 @@
             waited_seconds >= REPEATED_HEARTBEATS * self._heartbeat_seconds
         )
 
+    def record_predecessor(self, born: int) -> bool:
+        """Record that an earlier process of the agent followed an incarnation.
+
+        :param born: start time of that incarnation.
+        :return: whether the agent took itself for as old as its server until now.
+        """
+        if not self.is_known_since_start or not born or born != self.born:
+            return False
+        self.is_known_since_start = False
+        return True
+
     def has_taken(self, heartbeat: Heartbeat) -> bool:
         """Tell whether a heartbeat is one of the incarnation that is followed."""
         followed = self._last_heartbeat
@@ -215,7 +231,8 @@
         After a power loss, server and agent start together, and the agent misses the
         server's first heartbeats. An earlier agent process would have had to end, and
         this one to be started, within the server's life. The time of day may have been
-        stepped; a server that is no longer cold is therefore never taken for a new one.
+        stepped; a server that is no longer cold is therefore never taken for a new one,
+        and entries that heard of it from an earlier process say so.
         """
         if not heartbeat.cold_ms:
             return False
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -1,5 +1,6 @@
 """The relay agent: owns the flows of the backend server beside it."""
 
+import os
 import threading
 import time
 import typing
@@ -22,6 +23,7 @@
 from egretjunction.wire import relaying
 
 MIN_DRAIN_SECONDS = 0.1
+PROCESS_NUMBER_BYTES = 4
 # A process that exceeds its CPU quota is stalled for less than this; its ticks are then
 # late all the time, and a lost server would be noticed late.
 MIN_PAUSE_SECONDS = 0.25
@@ -72,6 +74,7 @@
             agent_settings.max_flow_seconds,
             self._announcer,
             self._cold_limit,
+            process=int.from_bytes(os.urandom(PROCESS_NUMBER_BYTES)),
         )
         self._may_list = False
         self._listing_thread: threading.Thread | None = None
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -53,6 +53,9 @@
         unknown.
     :param request_ms: typical duration of a request, 0 if unknown.
     :param failure_percent: share of recent flows that failed.
+    :param server_born: start time of its backend server, as the server states it; it
+        names the incarnation, and is 0 if there is none.
+    :param process: random number that the process of the agent drew at its start.
     """
 
     state: State
@@ -67,6 +70,8 @@
     wait_ms: int = NO_ESTIMATE
     request_ms: int = 0
     failure_percent: int = 0
+    server_born: int = 0
+    process: int = 0
 
 
 class Offer(msgspec.Struct, array_like=True, tag=1):
@@ -128,6 +133,8 @@
         has never learned of an evacuation.
     :param cold_per_second: requests that a cold backend server of the agent's service
         bears in a second, ``NO_LIMIT`` if not known or not limited.
+    :param older_server_born: ``server_born`` of an incarnation that an earlier process
+        of the agent has reported too, 0 if none is known.
     """
 
     version: int
@@ -137,6 +144,7 @@
     evacuation_era: int = 0
     evacuation_revision: int = 0
     cold_per_second: float = NO_LIMIT
+    older_server_born: int = 0
 
 
 class Held(msgspec.Struct, array_like=True, tag=6):
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -168,6 +168,62 @@
     assert not build.sent_messages(agent.tick(0.2), relaying.Held)
 
 
+def _start_process(process):
+    """Return an agent that takes itself for as old as its server, born at 1000."""
+    agent = build.relay_agent.AgentFlows(
+        build.relay_server.Server(build.SERVICE, 1.0),
+        build.Codec(),
+        build.MAX_FLOW_SECONDS,
+        build.announcer(),
+        process=process,
+    )
+    agent.on_heartbeat(build.heartbeat(sequence=4, cold_ms=1500), 0.1, 0.05)
+    return agent
+
+
+def _exchange_ping(entry, agent, now):
+    """Have an entry ping an agent; deliver all messages until both are silent."""
+    address = build.member_address('m-1')
+    to_agent = [relaying.Ping(1)]
+    while to_agent:
+        emitted = agent.on_message(to_agent.pop(0), build.ENTRY, now)
+        for pong, _ in build.sent_messages(emitted, relaying.Pong):
+            replies = entry.on_message(pong, address, now)
+            to_agent += [
+                ping for ping, _ in build.sent_messages(replies, relaying.Ping)
+            ]
+
+
+def test_restarted_agent_learns_from_entries_that_its_server_is_older():
+    """Guards against denied flows after a clock that was set back hid the restart."""
+    entry = build.entry('m-1')
+    _exchange_ping(entry, _start_process(1), 0.2)
+    restarted = _start_process(2)
+    assert restarted.status(0.2).knows_all_flows
+    _exchange_ping(entry, restarted, 0.2)
+    assert not restarted.status(0.2).knows_all_flows
+
+
+def test_agent_that_followed_its_server_from_the_start_remains_certain():
+    entry = build.entry('m-1')
+    agent = _start_process(1)
+    for number in range(3):
+        _exchange_ping(entry, agent, number)
+    assert agent.status(3).knows_all_flows
+    agent.on_heartbeat(build.heartbeat('i-2', born=2000), 4)
+    _exchange_ping(entry, agent, 4)
+    assert agent.status(4).knows_all_flows
+
+
+def test_power_loss_leaves_no_doubt_at_entries_that_knew_the_agent_before():
+    entry = build.entry('m-1')
+    _exchange_ping(entry, _start_process(1), 0.2)
+    after = _start_process(2)
+    after.on_heartbeat(build.heartbeat('i-2', born=9000), 0.3, 0.1)
+    _exchange_ping(entry, after, 0.4)
+    assert after.status(0.4).knows_all_flows
+
+
 def _search_beside_dead_server(until):
     """Ask an agent for a flow 5 s after its server, older than it, has crashed.
 
