The 129th connection to an HTTP server doesn't end the process

What callers would see: a process that ends by itself (seen in the source by the review).

Cause: the oldest connection is closed to accept another one. If the loop had found it readable at the same moment, its callback looked up a connection that was gone.

--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -96,7 +96,9 @@
         self._loop.add_reader(client_socket, lambda: self._serve(client_socket))
 
     def _serve(self, client_socket: socket.socket) -> None:
-        connection = self._connection_by_socket[client_socket]
+        connection = self._connection_by_socket.get(client_socket)
+        if connection is None:  # closed since the loop found it readable
+            return
         was_blocked = connection.has_unsent
         if not connection.serve():
             self._close(client_socket)
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -88,3 +88,30 @@
     loop.post(loop.stop)
     thread.join()
     server.close()
+
+
+def test_oldest_connection_closed_for_a_new_one_does_not_end_the_server():
+    """Guards against a process that ends at the 129th connection to one server.
+
+    The loop finds the oldest connection readable and closes it for another one at once.
+    """
+    loop = _loop.Loop()
+    own = addresses.Address('127.0.0.1', 0)
+    server = _http.Server(own, lambda _request: (200, b''), loop)
+    connections = []
+    for _ in range(_http.MAX_CONNECTIONS):
+        connections.append(socket.create_connection(server.address, timeout=2))
+        _run_once(loop)
+    newest = socket.create_connection(server.address, timeout=2)
+    connections[0].send(b'GET / HTTP/1.1\r\n\r\n')
+    _run_once(loop)
+    for connection in (*connections, newest):
+        connection.close()
+    server.close()
+
+
+def _run_once(loop):
+    """Run a loop until it has handled what is ready now."""
+    loop.post(loop.stop)
+    loop.run()
+    loop._is_stopped = False
