The soak has connections to the store go silent

At up to two random moments of a seed all open connections to the store go silent for good. They are drawn apart from the other disruptions, so that these stay as they were for each seed.

--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -29,6 +29,7 @@
 START_SECONDS = 15
 QUIET_SECONDS = 8  # at the end: the outage's aftermath, then the bound
 LAST_OUTAGE_SECONDS = 2.2
+STABLE_SECONDS = 4.0  # machines whose connections went silent count as disturbed
 BOUND_SECONDS = 3.0
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
@@ -127,6 +128,9 @@
         self._is_over = threading.Event()
         self._version = 0
         self._restores = 0
+        # A generator of their own leaves the other disruptions of a seed as they were.
+        draw = random.Random(f'silences {seed}')
+        self._silences_at = [draw.random() for _ in range(draw.randint(0, 2))]
 
     def run(self, seconds):
         """Play the run; return what was broken."""
@@ -173,6 +177,8 @@
         begun_at = time.monotonic()
         next_at = begun_at + 1
         self._later(seconds + LAST_OUTAGE_SECONDS, self._evacuate)
+        for at in self._silences_at:
+            self._later(at * seconds, self._silence_store)
         while (elapsed := time.monotonic() - begun_at) < seconds + QUIET_SECONDS:
             if elapsed < seconds and time.monotonic() >= next_at:
                 self._disturb()
@@ -267,6 +273,14 @@
         self._later(seconds, self._regain_store)
         self._store_failed_at = time.time()
 
+    def _silence_store(self):
+        """Have all connections to the store that are open go silent for good."""
+        self.state.silence_connections()
+        silenced_at = time.time()
+        for entry in self.entries:
+            span = (silenced_at, silenced_at + STABLE_SECONDS)
+            self._spans_by_entry[entry.name].append(span)
+
     def _regain_store(self):
         """Bring the store back; the operator writes its newest version again soon."""
         self.state.status = 0
@@ -349,6 +363,7 @@
         """Return what happened, in one line."""
         return (
             f'{len(self.confirmed)} versions, {self._restores} restores, '
+            f'{len(self._silences_at)} silences, '
             f'{self.clients.answers} answers, {self.clients.unanswered} unanswered, '
             f'{self.clients.unopened} unopened, {self.timing.checked} checks of '
             f'versions, slowest {self.timing.slowest:.2f} s, '
