A held-up heartbeat doesn't replace a server that has left

Found on reading the order of incarnations: after a leave, a single heartbeat with a lower start time was accepted at once, so that one that had been held up made the agent offer flows to nobody. It needs a second heartbeat now, as at any other time.

--- a/src/egretjunction/_decoding.py
+++ b/src/egretjunction/_decoding.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-MAX_INTEGER = 0x7FFFFFFFFFFFFFFF  # of bounds in msgspec
+MAX_INTEGER = 0x7FFFFFFFFFFFFFFF  # the highest bound that msgspec takes
 Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -190,7 +190,7 @@
         """
         if heartbeat.born in self._past_borns:
             return False
-        if heartbeat.born > previous.born or self.is_gone:
+        if heartbeat.born > previous.born:
             return True
         candidate = self._candidate
         if candidate is None or candidate.born != heartbeat.born:
