A paused agent doesn't take its server for ended before it has read on

What callers would see: open flows of a living server reset as held by nobody, after a pause of its agent.

A lost server counts as one that holds nothing, which was computed whenever a message was handled. After a pause of the process the first messages come before the tick that excludes the pause: heartbeats and answers seemed overdue, and the agent denied flows of its living server.

Change: whether the server is lost is decided in the tick only, once the pause is excluded, and kept until the server is heard again.

test_paused_agent_denies_no_flow_before_it_has_read_its_servers_answers failed before.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -229,11 +229,12 @@
         self.server.discount_pause(pause_seconds)
         for pending in self._probe_by_token.values():
             pending.discount_pause(pause_seconds)
+        is_lost = self.server.check_lost(now)
         for token, probe in list(self._probe_by_token.items()):
             if now >= probe.expires_at and not _is_undecided(probe, self.server, now):
                 self._probe_by_token.pop(token)
                 emitted += self._on_probe_expired(probe, now)
-        if self.server.is_lost(now) and self._flow_by_key:
+        if is_lost and self._flow_by_key:
             emitted.append(effects.Log('server_lost', server=self.server.name))
             emitted += self._discard_all('server_lost', now)
         self._remove_expired(now)
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -93,6 +93,7 @@
         '_candidate_at',
         '_cold_until',
         '_heartbeat_seconds',
+        '_is_lost',
         '_last_heartbeat',
         '_last_heartbeat_at',
         '_last_packet_at',
@@ -121,6 +122,7 @@
         self._last_heartbeat_at = -math.inf
         self._last_packet_at = -math.inf
         self._unanswered_since = math.inf
+        self._is_lost = False
         self._cold_until = -math.inf
         self.is_gone = False
         self.is_known_since_start = False
@@ -174,6 +176,7 @@
         self._last_heartbeat_at = now
         self._unanswered_since = math.inf
         self._probed_since = math.inf
+        self._is_lost = False
         self._cold_until = now + heartbeat.cold_ms / 1000
         if is_restarted:
             return HeartbeatChange.RESTARTED
@@ -258,6 +261,7 @@
         self._last_packet_at = now
         self._unanswered_since = math.inf
         self._probed_since = math.inf
+        self._is_lost = False
 
     def discount_pause(self, seconds: float) -> None:
         """Exclude a pause of this process from the silence of the server."""
@@ -286,7 +290,7 @@
 
     def holds_nothing(self, now: float) -> bool:
         """Tell whether the server has ended, so that it holds no flow."""
-        return self.is_gone or self.is_absent(now) or self.is_lost(now)
+        return self.is_gone or self.is_absent(now) or self._is_lost
 
     def knows_all_flows(self, now: float) -> bool:
         """Tell whether a flow without a record at the agent is none of the server's."""
@@ -300,8 +304,16 @@
         """Tell whether an answer is outstanding for longer than servers take."""
         return now - self._unanswered_since > ANSWER_TIMEOUT_SECONDS
 
-    def is_lost(self, now: float) -> bool:
-        """Tell whether both heartbeats and answers are overdue."""
+    def check_lost(self, now: float) -> bool:
+        """Record and return whether both heartbeats and answers are overdue.
+
+        To be called only when the pauses of this process are excluded: after one, a
+        message may be handled before the answers that came meanwhile.
+        """
+        self._is_lost = self._is_overdue(now)
+        return self._is_lost
+
+    def _is_overdue(self, now: float) -> bool:
         if self._last_heartbeat is None:
             return False
         overdue_seconds = OVERDUE_HEARTBEATS * self._heartbeat_seconds
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -527,6 +527,19 @@
     assert build.of_type(agent.tick(7.5), effects.Reset)
 
 
+def test_paused_agent_denies_no_flow_before_it_has_read_its_servers_answers():
+    """Guards against resets after a pause of an agent (soak, seed 114)."""
+    agent = build.agent(is_known_since_start=False)
+    agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 1)
+    agent.tick(1.02)
+    other = build.request(build.flow_key(9))
+    emitted = agent.on_message(relaying.Ask(6, other.raw), build.ENTRY, 4.5)
+    emitted += agent.on_message(build.find(7, other.key), build.ENTRY, 4.5)
+    emitted += agent.tick(4.51, pause_seconds=3.4)
+    assert not build.sent_messages(emitted, relaying.NotHeld)
+    assert build.sent_messages(emitted, relaying.Unsure)
+
+
 def test_probe_that_a_pause_outlasts_is_not_taken_for_held():
     """Guards against a flow adopted although the server's denial is still unread."""
     agent = build.agent(is_known_since_start=False)
