--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -44,6 +44,7 @@
         self.loses_responses = False
         self.bytes_per_second = 0
         self.link = threading.Lock()
+        self.sent_bytes = 0
         self.before_response = lambda _path: None
         self.changed = threading.Condition()
         self.connections = set()
@@ -233,3 +234,4 @@
         with self.store.link:
             time.sleep(len(chunk) / self.store.bytes_per_second)
             self.wfile.write(chunk)
+            self.store.sent_bytes += len(chunk)
--- a/tests/relay/test_large_configurations.py
+++ b/tests/relay/test_large_configurations.py
@@ -72,13 +72,15 @@
     """Guards against two copies that share a slow link."""
     system, state = running
     paths = []
-    state.before_response = paths.append
-    state.bytes_per_second = SLOW_BYTES_PER_SECOND
+    state.write({'op/config': _large_configuration(4, 750_000)}, [])
+    _await_version(system, 4, BOUND_SECONDS)
     system.start('agent')
     daemons._wait_until(lambda: system.announce(1) == 200)
     daemons._wait_until(lambda: b'"state":"ready"' in system.get('entry', '/status')[1])
+    state.before_response = paths.append
+    state.bytes_per_second = SLOW_BYTES_PER_SECOND
     state.write({'op/config': _large_configuration(5, 750_000)}, [])
-    time.sleep(0.2)
+    daemons._wait_until(lambda: state.sent_bytes > 10 * store_standin.CHUNK_BYTES)
     system.ping_agent(5)
     _await_version(system, 5, BOUND_SECONDS)
     assert '/kv-key?key=op/config' not in paths
