--- a/tests/relay/test_silent_watches.py
+++ b/tests/relay/test_silent_watches.py
@@ -1,7 +1,6 @@
 """Entry processes whose connections to the store go silent."""
 
 import contextlib
-import http.client
 import json
 import time
 import types
@@ -12,6 +11,7 @@
 from egretjunction.relay import listings
 from tests.platform import store_standin
 from tests.relay import soaking
+from tests.relay import test_daemons as daemons
 
 ENTRIES = 8
 WATCHING_SECONDS = 1.0  # entries that have a version watch again within this time
@@ -64,10 +64,8 @@
     """Send the first heartbeat of a backend server, at which its agent lists itself."""
     body = {'service': soaking.SERVICE, 'capacity': 2, 'state': 'ready'}
     body |= {'born': 1000, 'sequence': 1}
-    connection = http.client.HTTPConnection(agent.host, soaking.ANNOUNCEMENTS)
-    with contextlib.closing(connection):
-        connection.request('PUT', '/instances/i-1', json.dumps(body))
-        assert connection.getresponse().status == 200
+    arguments = (agent.host, soaking.ANNOUNCEMENTS, '/instances/i-1', json.dumps(body))
+    daemons._wait_until(lambda: daemons.put(*arguments) == 200)
 
 
 def _await_version(entries, version, seconds):
