A version that is being decoded or adopted isn't read a second time

Seen on reading the change again: work done twice. A response now counts as arriving until it is decoded, and a version as on its way until it is adopted; nothing is read when the version heard of is already in force. The two places that reported an incomplete response are one.

--- a/src/egretjunction/relay/_configuration.py
+++ b/src/egretjunction/relay/_configuration.py
@@ -47,6 +47,7 @@
         '_bound_seconds',
         '_changed_at',
         '_heard_at',
+        '_is_adopting',
         '_is_behind',
         '_log',
         '_loop',
@@ -83,6 +84,7 @@
         self._on_restored = on_restored
         self._log = log
         self._is_behind = threading.Event()
+        self._is_adopting = False
         self._newest_version = 0
         self._heard_at: float | None = None
         self._answered_at = time.monotonic()
@@ -183,12 +185,19 @@
         """Have the loop adopt an item; return its version, 0 if it is malformed."""
         if item.data == self.document and item.era <= self._adopted_era:
             return self._routes.version
+        self._is_adopting = True
         try:
             table = self._platform.read_routes(item.data)
         except errors.PlatformFormatError as error:
+            self._is_adopting = False
             self._log('configuration_malformed', source=source, error=str(error))
             return 0
-        self._loop.post(lambda: self._adopt(table, item, source))
+
+        def adopt() -> None:
+            self._adopt(table, item, source)
+            self._is_adopting = False
+
+        self._loop.post(adopt)
         return table.version
 
     def _adopt(
@@ -234,9 +243,8 @@
         """Read the configuration whenever other entries follow a newer version."""
         pause_seconds = CATCH_UP_SECONDS
         while self._is_behind.wait():
-            # A second response would share the link with the one that is arriving.
             is_caught_up = (
-                self._platform.store.is_receiving
+                self._is_catching_up()
                 or self._read_from_store()
                 or self._read_from_peers()
             )
@@ -248,6 +256,15 @@
             time.sleep(pause_seconds)
             self._is_behind.clear()
 
+    def _is_catching_up(self) -> bool:
+        """Tell whether the newest version is in force, or a version is on its way.
+
+        A second copy would share the link with the one that is arriving.
+        """
+        if self._routes.version >= self._newest_version:
+            return True
+        return self._platform.store.is_receiving or self._is_adopting
+
     def _read_from_store(self) -> bool:
         """Read the store's version; tell whether it is the newest one.
 
--- a/src/egretjunction/relay/http_calls.py
+++ b/src/egretjunction/relay/http_calls.py
@@ -17,6 +17,7 @@
 # A response that has begun is read for as long as it makes progress: its size and the
 # speed of the link are not known beforehand.
 STALL_SECONDS = 1.0  # longest pause between two parts of a response
+MIN_WAIT_SECONDS = 0.001  # a timeout of 0 would make the socket non-blocking
 MIN_BYTES_PER_SECOND = 16_384  # on average; far below the slowest link
 
 
@@ -123,11 +124,7 @@
     parser = httptools.HttpResponseParser(parts)
     started_at: float | None = None
     while not parts.is_complete:
-        remaining_seconds = deadline - time.monotonic()
-        if remaining_seconds <= 0:
-            raise TimeoutError(_describe_incomplete(parts))
-        connection.settimeout(remaining_seconds)
-        received = _read_chunk(connection, parts)
+        received = _read_chunk(connection, deadline, parts)
         if not received:
             raise OSError('connection closed before the response was complete')
         parser.feed_data(received)
@@ -157,14 +154,20 @@
         )
 
 
-def _read_chunk(connection: socket.socket, parts: _ResponseParts) -> bytes:
+def _read_chunk(
+    connection: socket.socket, deadline: float, parts: _ResponseParts
+) -> bytes:
+    """Return the next part of a response.
+
+    :param deadline: time limit on the monotonic clock.
+    :param parts: what has arrived before.
+    :raises TimeoutError: when nothing arrives in time.
+    """
+    connection.settimeout(max(MIN_WAIT_SECONDS, deadline - time.monotonic()))
     try:
         return connection.recv(READ_BYTES)
     except TimeoutError as error:
-        raise TimeoutError(_describe_incomplete(parts)) from error
-
-
-def _describe_incomplete(parts: _ResponseParts) -> str:
-    """Return how much of a response has arrived, for an error message."""
-    expected = parts.header_by_name.get('content-length', 'an unknown number of')
-    return f'timed out after {len(parts.body)} of {expected} bytes'
+        expected = parts.header_by_name.get('content-length', 'an unknown number of')
+        raise TimeoutError(
+            f'timed out after {len(parts.body)} of {expected} bytes'
+        ) from error
--- a/src/egretjunction/store.py
+++ b/src/egretjunction/store.py
@@ -79,7 +79,7 @@
     Every method blocks the calling thread until the service responds, and raises
     ``errors.PlatformUnavailableError`` when it does not. A write raises the subclass
     ``errors.NotKnownError`` when it may have taken effect. ``is_receiving`` tells
-    whether a response is arriving now.
+    whether the response to a read is arriving, or being decoded, now.
     """
 
     is_receiving: bool
