Odd copies of peers, and odd statuses of listed agents, against real processes

The list of places that read what others put down lacked two: a peer's copy of the configuration, and the status and tokens in messages of an agent that the entry knows (those of strangers were dropped before they were read). Routes with a port out of range join the odd configurations: such a version is not taken, as any that can't be read whole, and later ones follow.

The start of a system of processes and the wait for a version stood in four test files, twice by this change; they are methods of the test system now. The listings and heartbeats of the tests of silent watches come from the functions that exist for them.

--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -34,6 +34,12 @@
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
 
+def heartbeat(sequence):
+    """Return the body of a heartbeat of a backend server."""
+    body = {'service': SERVICE, 'capacity': 50, 'state': 'ready'}
+    return json.dumps(body | {'born': 1000, 'sequence': sequence})
+
+
 class Process:
     """An entry or agent process that is restarted under its name.
 
@@ -322,8 +328,6 @@
         while not self._is_over.wait(0.4):
             sequence += 1
             for agent in self.agents:
-                body = {'service': SERVICE, 'capacity': 50, 'state': 'ready'}
-                body |= {'born': 1000, 'sequence': sequence}
                 connection = http.client.HTTPConnection(
                     agent.host, ANNOUNCEMENTS, timeout=0.3
                 )
@@ -331,7 +335,7 @@
                     contextlib.closing(connection),
                     contextlib.suppress(OSError, http.client.HTTPException),
                 ):
-                    connection.request('PUT', '/instances/i-1', json.dumps(body))
+                    connection.request('PUT', '/instances/i-1', heartbeat(sequence))
                     connection.getresponse().read()
 
     def _check_readiness(self):
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -146,6 +146,17 @@
         self.client_socket.sendto(ping, (AGENT_HOST, self.port))
         self.client_socket.recv(2048)
 
+    def await_ready(self):
+        """Wait until the entry is ready and knows that the agent's server is."""
+        _wait_until(lambda: self.announce(1) == 200)
+        _wait_until(lambda: self.get('entry', '/readiness', self.http)[0] == 200)
+        _wait_until(lambda: b'"state":"ready"' in self.get('entry', '/status')[1])
+
+    def await_version(self, version, seconds=WAIT_SECONDS):
+        """Wait until the entry has a version in force."""
+        text = f'"version":{version},'.encode()
+        _wait_until(lambda: text in self.get('entry', '/status')[1], seconds)
+
     def close(self):
         """Kill all started processes and close the sockets."""
         for process in self.processes.values():
@@ -209,8 +220,8 @@
         server.server_close()
 
 
-def _wait_until(check):
-    deadline = time.monotonic() + WAIT_SECONDS
+def _wait_until(check, seconds=WAIT_SECONDS):
+    deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
         with contextlib.suppress(OSError, http.client.HTTPException):
             if check():
@@ -234,23 +245,32 @@
     return json.dumps({'version': version, 'routes': routes}).encode()
 
 
-@pytest.fixture
-def running(tmp_path):
+@contextlib.contextmanager
+def stopped_system(folder):
+    """Yield a system without processes, and a store that holds version 3."""
     with store_standin.running() as (store_state, address):
         store_state.write(SETTLED, [])
         store_state.write({'op/config': _configuration(3, SERVICE)}, [])
-        system = _System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('agent')
-            system.start('entry')
-            _wait_until(lambda: system.announce(1) == 200)
-            _wait_until(
-                lambda: system.get('entry', '/readiness', system.http)[0] == 200
-            )
-            _wait_until(lambda: b'"state":"ready"' in system.get('entry', '/status')[1])
+        with contextlib.closing(_System(folder, address)) as system:
             yield system, store_state
 
 
+@contextlib.contextmanager
+def running_system(folder):
+    """Yield a system whose entry and agent serve, and its store."""
+    with stopped_system(folder) as (system, store_state):
+        system.start('agent')
+        system.start('entry')
+        system.await_ready()
+        yield system, store_state
+
+
+@pytest.fixture
+def running(tmp_path):
+    with running_system(tmp_path) as system_and_store:
+        yield system_and_store
+
+
 def test_packets_are_relayed_unchanged_in_both_directions(running):
     system, _ = running
     system.open(4001)
--- a/tests/relay/test_evacuations.py
+++ b/tests/relay/test_evacuations.py
@@ -1,6 +1,5 @@
 """Evacuations read from the store, and in force at entry and agent processes."""
 
-import contextlib
 import time
 
 import operator_config
@@ -9,7 +8,6 @@
 from egretjunction import store
 from egretjunction.relay import _evacuations
 from egretjunction.wire import relaying
-from tests.platform import store_standin
 from tests.relay import test_daemons as daemons
 
 BOUND_SECONDS = 5.0  # from the write of the key until the evacuation is in force
@@ -83,7 +81,7 @@
 
 
 def test_evacuation_takes_effect_in_time_and_ends(tmp_path):
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         system.open(4101)
         system.send(4101, daemons.ACK, 101, 501, b'x')
         assert system.server_socket.recv(2048).endswith(b'x')
@@ -114,7 +112,7 @@
 
 def test_evacuation_taken_back_and_asked_again_within_one_watch_is_in_force(tmp_path):
     """Guards against a deletion applied after the write that followed it."""
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         state.write({KEY: b'{}'}, [])
         daemons._wait_until(lambda: _evacuated(system, 'agent'))
         state.write({}, [KEY])
@@ -126,7 +124,7 @@
 
 def test_evacuation_stays_in_force_while_the_store_is_lost(tmp_path):
     """Guards against an end by loss of the store, and a restarted agent that serves."""
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         state.write({KEY: b'{}'}, [])
         daemons._wait_until(lambda: _evacuated(system, 'agent'))
         state.status = 503
@@ -140,7 +138,7 @@
 
 
 def test_evacuation_takes_effect_in_time_with_a_slow_store(tmp_path):
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         state.before_response = lambda _path: time.sleep(0.3)
         written_at = time.monotonic()
         state.write({KEY: b'{}'}, [])
@@ -150,7 +148,7 @@
 
 def test_end_that_no_watch_reports_is_read_from_the_next_listing(tmp_path):
     """Guards against an evacuation kept after the history of its key is gone."""
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         state.write({KEY: b'{}'}, [])
         daemons._wait_until(lambda: _evacuated(system, 'agent'))
         state.status = 503
@@ -165,7 +163,7 @@
 
 
 def test_entry_restarted_while_the_store_is_lost_is_not_ready(tmp_path):
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         state.write({KEY: b'{}'}, [])
         daemons._wait_until(lambda: _evacuated(system, 'agent'))
         state.status = 503
@@ -187,7 +185,7 @@
     tmp_path,
 ):
     """Guards against an entry whose watch is silent, while others know."""
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         state.is_silent = True
         ping = relaying.Ping(
             3, is_evacuated=True, evacuation_era=1, evacuation_revision=99
@@ -203,7 +201,7 @@
 @pytest.mark.parametrize('is_rewritten', [True, False])
 def test_evacuation_that_a_restore_took_away(tmp_path, is_rewritten):
     """Guards against first packets before the operators have written the key again."""
-    with _running(tmp_path) as (system, state):
+    with daemons.running_system(tmp_path) as (system, state):
         copy = state.copy()
         state.write({KEY: b'{}'}, [])
         daemons._wait_until(lambda: _evacuated(system, 'agent'))
@@ -221,23 +219,3 @@
             daemons._wait_until(lambda: not _evacuated(system, 'agent'))
             assert time.monotonic() - restored_at > 3
             assert 'source=settled_era' in system.log('entry')
-
-
-@contextlib.contextmanager
-def _running(tmp_path):
-    """Yield an entry and an agent in domain a that serve, and the store."""
-    with store_standin.running() as (state, address):
-        state.write(daemons.SETTLED, [])
-        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
-        system = daemons._System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('agent')
-            system.start('entry')
-            daemons._wait_until(lambda: system.announce(1) == 200)
-            daemons._wait_until(
-                lambda: system.get('entry', '/readiness', system.http)[0] == 200
-            )
-            daemons._wait_until(
-                lambda: b'"state":"ready"' in system.get('entry', '/status')[1]
-            )
-            yield system, state
--- a/tests/relay/test_large_configurations.py
+++ b/tests/relay/test_large_configurations.py
@@ -1,8 +1,6 @@
 """Entry processes that read large configurations over slow links."""
 
-import contextlib
 import json
-import time
 
 import pytest
 
@@ -27,25 +25,10 @@
 
 @pytest.fixture
 def running(tmp_path):
-    with store_standin.running() as (state, address):
-        state.write(daemons.SETTLED, [])
-        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
-        system = daemons._System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('entry')
-            _await_version(system, 3, daemons.WAIT_SECONDS)
-            yield system, state
-
-
-def _await_version(system, version, seconds):
-    deadline = time.monotonic() + seconds
-    text = f'"version":{version},'.encode()
-    while time.monotonic() < deadline:
-        with contextlib.suppress(OSError):
-            if text in system.get('entry', '/status')[1]:
-                return
-        time.sleep(0.02)
-    pytest.fail(f'version {version} is not in force after {seconds} s')
+    with daemons.stopped_system(tmp_path) as (system, state):
+        system.start('entry')
+        system.await_version(3)
+        yield system, state
 
 
 def test_large_version_over_a_slow_link_is_in_force_in_time(running):
@@ -54,7 +37,7 @@
     state.bytes_per_second = SLOW_BYTES_PER_SECOND
     for version in (5, 7):
         state.write({'op/config': _large_configuration(version, 750_000)}, [])
-        _await_version(system, version, BOUND_SECONDS)
+        system.await_version(version, BOUND_SECONDS)
 
 
 def test_large_versions_in_quick_succession_are_skipped_for_the_newest(running):
@@ -62,10 +45,10 @@
     system, state = running
     state.bytes_per_second = 2 * SLOW_BYTES_PER_SECOND
     state.write({'op/config': _large_configuration(5, 700_000)}, [])
-    _await_version(system, 5, BOUND_SECONDS)
+    system.await_version(5, BOUND_SECONDS)
     for version in range(6, 20):
         state.write({'op/config': _large_configuration(version, 700_000)}, [])
-    _await_version(system, 19, BOUND_SECONDS)
+    system.await_version(19, BOUND_SECONDS)
 
 
 def test_version_heard_of_while_it_arrives_is_read_once(running):
@@ -73,7 +56,7 @@
     system, state = running
     paths = []
     state.write({'op/config': _large_configuration(4, 750_000)}, [])
-    _await_version(system, 4, BOUND_SECONDS)
+    system.await_version(4, BOUND_SECONDS)
     system.start('agent')
     daemons._wait_until(lambda: system.announce(1) == 200)
     daemons._wait_until(lambda: b'"state":"ready"' in system.get('entry', '/status')[1])
@@ -82,5 +65,5 @@
     state.write({'op/config': _large_configuration(5, 750_000)}, [])
     daemons._wait_until(lambda: state.sent_bytes > 10 * store_standin.CHUNK_BYTES)
     system.ping_agent(5)
-    _await_version(system, 5, BOUND_SECONDS)
+    system.await_version(5, BOUND_SECONDS)
     assert '/kv-key?key=op/config' not in paths
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -5,10 +5,12 @@
 
 import contextlib
 import json
+import socket
 import time
 
 import pytest
 
+from egretjunction import addresses
 from egretjunction.relay import listings
 from egretjunction.wire import relaying
 from tests.relay import test_daemons as daemons
@@ -56,6 +58,9 @@
     'large-version': b'{"version":' + HUGE + b',"routes":[]}',
     'large-64-bit-version': b'{"version":18446744073709551616,"routes":[]}',
     'negative-version': b'{"version":-1,"routes":[]}',
+    'port-out-of-range': daemons._configuration(4, 'x').replace(b'/443/', b'/70000/'),
+    'huge-port': daemons._configuration(4, 'x').replace(b'/443/', b'/' + HUGE + b'/'),
+    'nested-host': b'{"version":4,"routes":[{"name":"r","host":' + NESTED + b'}]}',
     'bytes': b'\xff',
 }
 ODD_FIGURES = [HUGE, b'1e308', b'-1e308', b'{"a":1}', b'true', b'null']
@@ -95,15 +100,7 @@
         system.processes[role].wait()
         system.start(role)
     daemons._wait_until(lambda: system.announce(11) == 200)
-    daemons._wait_until(
-        lambda: system.get('entry', '/readiness', system.http)[0] == 200
-    )
-    daemons._wait_until(lambda: b'"state":"ready"' in system.get('entry', '/status')[1])
-
-
-def _await_version(system, version):
-    text = f'"version":{version},'.encode()
-    daemons._wait_until(lambda: text in system.get('entry', '/status')[1])
+    system.await_ready()
 
 
 @pytest.mark.parametrize('prefix', [listings.AGENTS_PREFIX, listings.ENTRIES_PREFIX])
@@ -126,7 +123,7 @@
         time.sleep(PING_SECONDS)
         _assert_serving(system, version)
         state.write({'op/config': daemons._configuration(version, daemons.SERVICE)}, [])
-        _await_version(system, version)
+        system.await_version(version)
 
 
 def test_odd_figures_of_a_service_do_not_keep_their_version_out(running):
@@ -138,7 +135,7 @@
         )
         document = daemons._configuration(version, daemons.SERVICE)
         state.write({'op/config': document[:-1] + b',"services":' + service + b'}'}, [])
-        _await_version(system, version)
+        system.await_version(version)
         time.sleep(PING_SECONDS)
         _assert_serving(system, version)
 
@@ -150,7 +147,7 @@
     state.write({'op/odd': NESTED, 'op/evacuate/': b'{}'}, [])
     time.sleep(FOLLOWING_SECONDS)
     state.write({'op/config': daemons._configuration(8, daemons.SERVICE)}, [])
-    _await_version(system, 8)
+    system.await_version(8)
     _assert_serving(system, 10)
 
 
@@ -160,7 +157,7 @@
     for key in ('op/odd', 'egretjunction/agents/odd'):
         state.item_by_key[key]['value'] = '%%%'
     state.write({'op/config': daemons._configuration(8, daemons.SERVICE)}, [])
-    _await_version(system, 8)
+    system.await_version(8)
     _restart(system)
     _assert_serving(system, 12)
 
@@ -189,6 +186,27 @@
     _assert_serving(system, 10)
 
 
+def test_odd_copies_of_peers_hide_no_valid_one(running):
+    """Guards against an entry that follows nobody since one peer's copy is odd."""
+    system, state = running
+    for version, odd_document in enumerate(ODD_CONFIGURATIONS.values(), 10):
+        valid_document = daemons._configuration(version, daemons.SERVICE)
+        with (
+            daemons._peer(odd_document) as (odd_address, _),
+            daemons._peer(valid_document) as (valid_address, _),
+        ):
+            for name, figures in (('odd', odd_address), ('valid', valid_address)):
+                listed = {'domain': 'a', 'address': '127.0.10.8:1', 'figures': figures}
+                key = f'{listings.ENTRIES_PREFIX}{name}'
+                state.write({key: json.dumps(listed).encode()}, [])
+            time.sleep(PING_SECONDS)
+            state.status = 503
+            system.ping_agent(version)
+            system.await_version(version)
+            state.status = 0
+        _assert_serving(system, version)
+
+
 NESTED_MESSAGE = b'\x91' * DEPTH + b'\xc0'
 LARGE = b'\xcf' + b'\xff' * 8
 ODD_MESSAGES = [
@@ -232,3 +250,46 @@
         while True:
             system.client_socket.recv(65535)
     system.client_socket.settimeout(daemons.WAIT_SECONDS)
+
+
+LARGEST = 2**64 - 1
+ODD_STATUSES = [
+    relaying.Status(state, *figures)
+    for state in (relaying.State.READY, relaying.State.UNFIT)
+    for figures in (
+        [LARGEST] * 4,
+        [-(2**63)] * 4,
+        [0, 0, 2, LARGEST, LARGEST, True, False, LARGEST, LARGEST, LARGEST, LARGEST],
+        [0, 0, 2, 3, -(2**63), True, False, -(2**63), -(2**63), -(2**63), -(2**63)],
+        [0, 0, 2, 3, 0, True, False, 0, 0, 0, 0, LARGEST, LARGEST],
+    )
+]
+
+
+def _messages_of_agent(status):
+    """Return each message of an agent with a status and odd fields."""
+    return [
+        relaying.Pong(LARGEST, status),
+        relaying.Pong(relaying.compute_service_tag(daemons.SERVICE), status),
+        relaying.Held(LARGEST, b'', LARGEST, status),
+        relaying.Passed(LARGEST, relaying.Reason.BUSY, status),
+        relaying.NotHeld([LARGEST], status),
+        relaying.Unsure([LARGEST], status),
+        relaying.Returned(b'', status),
+    ]
+
+
+def test_odd_statuses_of_a_listed_agent_hide_no_other(running):
+    """Guards against an entry that ends, or offers flows to nobody else."""
+    system, state = running
+    with socket.socket(type=socket.SOCK_DGRAM) as agent:
+        agent.bind(('127.0.10.8', 0))
+        address = addresses.Address(*agent.getsockname())
+        key, listed = listings.agent_item('odd', daemons.SERVICE, 'a', address)
+        state.write({key: listed}, [])
+        daemons._wait_until(lambda: b'"odd"' in system.get('entry', '/status')[1])
+        for sequence, status in enumerate(ODD_STATUSES, 10):
+            for message in _messages_of_agent(status):
+                raw = relaying.encode(message)
+                agent.sendto(raw, (daemons.ENTRY_HOST, system.inner_port))
+            _assert_serving(system, sequence)
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -16,23 +16,13 @@
 @contextlib.contextmanager
 def _running(tmp_path, extra_keys=()):
     """Yield an entry and an agent that serve, the store, and a copy without their keys."""
-    with store_standin.running() as (state, address):
-        state.write(daemons.SETTLED, [])
-        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
+    with daemons.stopped_system(tmp_path) as (system, state):
         state.write(dict(extra_keys), [])
         copy = state.copy()
-        system = daemons._System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('agent')
-            system.start('entry')
-            daemons._wait_until(lambda: system.announce(1) == 200)
-            daemons._wait_until(
-                lambda: system.get('entry', '/readiness', system.http)[0] == 200
-            )
-            daemons._wait_until(
-                lambda: b'"state":"ready"' in system.get('entry', '/status')[1]
-            )
-            yield system, state, copy
+        system.start('agent')
+        system.start('entry')
+        system.await_ready()
+        yield system, state, copy
 
 
 @pytest.fixture
@@ -41,22 +31,17 @@
         yield system, state
 
 
-def _await_version(system, version):
-    text = f'"version":{version},'.encode()
-    daemons._wait_until(lambda: text in system.get('entry', '/status')[1])
-
-
 def test_version_with_a_revision_given_out_again_is_adopted(running):
     """Guards against watching on from a revision of the history before a restore."""
     system, state = running
     copy = state.copy()
     known_revision = state.write({'op/config': daemons._configuration(5)}, [])
-    _await_version(system, 5)
+    system.await_version(5)
     state.status = 503
     state.restore(copy)
     assert state.write({'op/config': daemons._configuration(8)}, []) == known_revision
     state.status = 0
-    _await_version(system, 8)
+    system.await_version(8)
 
 
 def test_version_that_a_restore_took_away_is_read_from_a_peer(running):
@@ -69,29 +54,25 @@
         time.sleep(relay_watching.COALESCING_SECONDS + 0.2)
         state.restore(state.copy())
         system.ping_agent(8)
-        _await_version(system, 8)
+        system.await_version(8)
 
 
 def test_entry_started_on_an_older_copy_is_not_ready_before_the_newer_version(tmp_path):
     """Guards against requests handled by a version that its peers have passed."""
-    with store_standin.running() as (state, address):
-        state.write(daemons.SETTLED, [])
-        state.write({'op/config': daemons._configuration(3, daemons.SERVICE)}, [])
-        system = daemons._System(tmp_path, address)
-        with contextlib.closing(system):
-            system.start('agent')
-            daemons._wait_until(lambda: system.announce(1) == 200)
-            system.ping_agent(8)
-            system.start('entry')
-            _await_version(system, 3)
-            deadline = time.monotonic() + 1
-            while time.monotonic() < deadline:
-                assert system.get('entry', '/readiness', system.http)[0] == 503
-            state.write({'op/config': daemons._configuration(8, daemons.SERVICE)}, [])
-            daemons._wait_until(
-                lambda: system.get('entry', '/readiness', system.http)[0] == 200
-            )
-            assert b'"version":8,' in system.get('entry', '/status')[1]
+    with daemons.stopped_system(tmp_path) as (system, state):
+        system.start('agent')
+        daemons._wait_until(lambda: system.announce(1) == 200)
+        system.ping_agent(8)
+        system.start('entry')
+        system.await_version(3)
+        deadline = time.monotonic() + 1
+        while time.monotonic() < deadline:
+            assert system.get('entry', '/readiness', system.http)[0] == 503
+        state.write({'op/config': daemons._configuration(8, daemons.SERVICE)}, [])
+        daemons._wait_until(
+            lambda: system.get('entry', '/readiness', system.http)[0] == 200
+        )
+        assert b'"version":8,' in system.get('entry', '/status')[1]
 
 
 def test_other_content_under_a_known_version_is_adopted_after_a_restore(running):
@@ -99,7 +80,7 @@
     system, state = running
     copy = state.copy()
     state.write({'op/config': daemons._configuration(5, daemons.SERVICE)}, [])
-    _await_version(system, 5)
+    system.await_version(5)
     state.restore(copy)
     state.write({'op/config': daemons._configuration(5)}, [])
     daemons._wait_until(lambda: 'event=configuration_replaced' in system.log('entry'))
@@ -131,7 +112,7 @@
         system.processes['entry'].wait()
         state.restore(copy)
         system.start('entry')
-        _await_version(system, 3)
+        system.await_version(3)
         system.server_socket.settimeout(0.2)
         received = None
         for sequence in range(2, 42):
--- a/tests/relay/test_silent_watches.py
+++ b/tests/relay/test_silent_watches.py
@@ -1,7 +1,6 @@
 """Entry processes whose connections to the store go silent."""
 
 import contextlib
-import json
 import time
 import types
 
@@ -20,18 +19,21 @@
 
 
 def _write_version(state, version):
-    route = {'name': 'r', 'host': '198.18.0.1', 'prefix': '/443/'}
-    route |= {'service': soaking.SERVICE, 'timeout_ms': 8000, 'target_latency_ms': 500}
-    document = {'version': version, 'routes': [route]}
-    state.write({'op/config': json.dumps(document).encode()}, [])
+    document = daemons._configuration(version, soaking.SERVICE)
+    state.write({'op/config': document}, [])
+
+
+def _list_entry(state, name, domain, host):
+    inner, metrics = (
+        addresses.Address(host, port) for port in (soaking.AGENTS, soaking.METRICS)
+    )
+    state.write(dict([listings.entry_item(name, domain, inner, metrics)]), [])
 
 
 def _list_other_entries(state, count):
     for number in range(count):
-        address = f'127.0.9.{number + 1}:9'
-        value = {'domain': 'elsewhere', 'address': address, 'figures': address}
-        key = f'{listings.ENTRIES_PREFIX}other-{number}'
-        state.write({key: json.dumps(value).encode()}, [])
+        host = f'127.0.9.{number + 1}'
+        _list_entry(state, f'other-{number}', 'elsewhere', host)
 
 
 @contextlib.contextmanager
@@ -42,12 +44,7 @@
     processes = [soaking.Process(site, 'agent', 1)]
     processes += [soaking.Process(site, 'entry', n + 1) for n in range(count)]
     for entry in processes[1:]:
-        inner, metrics = (
-            addresses.Address(entry.host, port)
-            for port in (soaking.AGENTS, soaking.METRICS)
-        )
-        listed = listings.entry_item(entry.name, entry.domain, inner, metrics)
-        state.write(dict([listed]), [])
+        _list_entry(state, entry.name, entry.domain, entry.host)
     for process in processes:
         process.start()
     try:
@@ -62,10 +59,13 @@
 
 def _announce_server(agent):
     """Send the first heartbeat of a backend server, at which its agent lists itself."""
-    body = {'service': soaking.SERVICE, 'capacity': 2, 'state': 'ready'}
-    body |= {'born': 1000, 'sequence': 1}
-    arguments = (agent.host, soaking.ANNOUNCEMENTS, '/instances/i-1', json.dumps(body))
-    daemons._wait_until(lambda: daemons.put(*arguments) == 200)
+    body = soaking.heartbeat(1)
+    daemons._wait_until(
+        lambda: (
+            daemons.put(agent.host, soaking.ANNOUNCEMENTS, '/instances/i-1', body)
+            == 200
+        )
+    )
 
 
 def _await_version(entries, version, seconds):
