A planned stop of an agent is announced, so that its silence denies nothing

What callers saw: flows of living backend servers were reset (nobody_holds_it) when a planned restart of the agent beside their server took longer than 1.5 s (FLOW).

An entry takes 1.5 s of silence of an agent for the end of all its flows. At a planned stop the agent knows better and did not say so: its last status (GONE) is the same as that of an agent whose server has left.

Change: the status of an agent that ends while its server lives says leaves_flows, and its listing names the stopped process, for entries that start later or missed the message. Until another process of the agent answers, its silence proves nothing, for max_flow_seconds at most: then all flows from before the stop are too old to count. An agent that is away gets no first packets. A stop that is said again does not prolong the absence, and another service at the name or the address ends it. A listing must be younger than the silence after which an agent counts as dead (1.4 s instead of 2 s), so that it shows the stop.

What it costs: one write to the store at a planned stop, and one at the next start. When the machine of a stopped agent never returns, flows of its service that are really gone are not reset, for up to max_flow_seconds; their clients wait for their own deadlines. A server that sent no heartbeats while its agent ran is therefore not announced.

Ruled out: a longer limit than 1.5 s, which would delay every reset after a power loss, and the listing alone, which names agents of machines that are gone as well.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -45,7 +45,7 @@
         cold_limit: relay_cold.ColdLimit | None = None,
         process: int = 0,
     ) -> None:
-        self._process = process
+        self.process = process
         self.cold_limit = cold_limit or relay_cold.ColdLimit(server.is_cold)
         self._announcer = announcer
         self._max_flow_seconds = max_flow_seconds
@@ -273,7 +273,8 @@
             request_ms=self._backlog.request_ms,
             failure_percent=self._backlog.outcomes.failure_percent(now),
             server_born=self.server.born,
-            process=self._process,
+            process=self.process,
+            leaves_flows=leaves_flows(self, now),
         )
 
     def announce(
@@ -649,6 +650,18 @@
                 self._last_heard_by_entry.pop(entry)
 
 
+def leaves_flows(flows: AgentFlows, now: float) -> bool:
+    """Tell whether an agent is ending while its server may hold flows.
+
+    A server that sends no heartbeats while its agent runs is taken for one that ended
+    without a leave call: its machine may never return, and searches would wait for it.
+    """
+    may_hold_flows = not (
+        flows.server.holds_nothing(now) or flows.server.is_overdue(now)
+    )
+    return flows.is_shutting_down and may_hold_flows
+
+
 def can_stop(flows: AgentFlows, now: float) -> bool:
     """Tell whether the process of an agent may end without leaving work behind.
 
--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -124,9 +124,16 @@
             member.record_status(status, now)
         else:
             self._placer.record_message(member, message, now)
+        stops = status.leaves_flows and self.members.record_stop(
+            member, status.process, now
+        )
         self._searches.note_status(member, before)
         self.newest_version = max(self.newest_version, status.version)
         emitted = handler(message, member, now)
+        if stops:
+            emitted.append(
+                effects.Log('member_away', member=member.name, process=status.process)
+            )
         if member.older_server_born != known_older_born:
             emitted.append(self._ping(member, now))
         emitted += self._offer_waiting_to(member, now)
--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_absences
 from egretjunction.decisions import relay_eras
 from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_pinging
@@ -20,7 +21,9 @@
 EXPIRE_AFTER_SECONDS = 30.0
 NO_SERVER_SECONDS = 2.0  # until a silent agent counts as dead, with its last answer
 OPENINGS_SECONDS = 1.0  # the openings of a cold server are counted per second
-FRESH_LISTING_SECONDS = 2.0  # agents listed since then announce themselves
+# Agents listed since then announce themselves. A listing that is this fresh was read
+# after any agent that counts as dead had fallen silent, and shows a planned stop.
+FRESH_LISTING_SECONDS = DEAD_AFTER_SECONDS - 0.1
 USED_SECONDS = 2.0  # a member counts as in use for this long after the last packet
 MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
 OTHER_DOMAIN_PENALTY = 0.8  # share of its slots by which a near server may be fuller
@@ -44,9 +47,12 @@
     :param service: service of its backend server.
     :param domain: its failure domain.
     :param address: its address for messages of entries.
+    :param stopped_process: number of its process that has listed its own planned stop,
+        0 if there is none.
     """
 
     __slots__ = (
+        '_absence',
         '_reported_born',
         '_reporting_process',
         'address',
@@ -71,7 +77,9 @@
         service: str,
         domain: str,
         address: addresses.Address,
+        stopped_process: int = 0,
     ) -> None:
+        self._absence = relay_absences.Absence(stopped_process)
         self.name = name
         self.service = service
         self.domain = domain
@@ -93,9 +101,29 @@
         """Record that a message was sent that the agent answers immediately."""
         self.unanswered_since = min(self.unanswered_since, now)
 
+    @property
+    def stopped_process(self) -> int:
+        """Return the number of the process whose stop the listing tells of, or 0."""
+        return self._absence.listed_process
+
+    def change_service(self, service: str) -> None:
+        """Record that the agent is listed for another service than before."""
+        self.service = service
+        self._absence = relay_absences.Absence()
+
+    def begin_absence(self, process: int, until: float) -> bool:
+        """Record that a process stops and leaves flows to its server.
+
+        :param process: number of the process, as in its status.
+        :param until: time at which these flows are too old to count.
+        :return: whether the stop was not known.
+        """
+        return self._absence.begin(process, until)
+
     def record_status(self, status: relaying.Status, now: float) -> None:
         """Record a status that the agent sent."""
         self.status = status
+        self._absence.record_status(status)
         self.offered_flows = 0
         self.last_status_at = now
         self.unanswered_since = math.inf
@@ -120,9 +148,17 @@
         """Tell whether an answer is outstanding for longer than usual."""
         return self.silent_seconds(now) > SUSPECT_AFTER_SECONDS
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether an answer is outstanding for longer than pauses last."""
+        return self.silent_seconds(now) > DEAD_AFTER_SECONDS
+
+    def is_away(self, now: float) -> bool:
+        """Tell whether it was stopped as planned and its server may hold flows."""
+        return not self.is_mistaken and self._absence.is_lasting(now)
+
     def is_dead(self, now: float) -> bool:
         """Tell whether the agent is silent for so long that its flows count as lost."""
-        return self.silent_seconds(now) > DEAD_AFTER_SECONDS
+        return self.is_silent(now) and not self.is_away(now)
 
     def is_identified(self) -> bool:
         """Tell whether the listed agent itself has answered."""
@@ -144,7 +180,7 @@
 
     def accepts_flows(self, now: float) -> bool:
         """Tell whether new flows may be offered to the agent."""
-        if self.is_mistaken or self.is_evacuated():
+        if self.is_mistaken or self.is_evacuated() or self.is_away(now):
             return False
         if not self._has_openings(now):
             return False
@@ -193,10 +229,13 @@
     ``index`` holds the members by service, failure domain and free capacity.
 
     :param domain: failure domain of the entry.
+    :param max_flow_seconds: age from which a flow may be dropped; bounds the planned
+        absences of agents.
     """
 
-    def __init__(self, domain: str) -> None:
+    def __init__(self, domain: str, max_flow_seconds: float = math.inf) -> None:
         self._domain = domain
+        self._max_flow_seconds = max_flow_seconds
         self.member_by_name: dict[str, Member] = {}
         self.member_by_address: dict[addresses.Address, Member] = {}
         self.is_watched = False
@@ -216,7 +255,7 @@
         if existing is not None and existing.address == member.address:
             existing.is_listed = True
             if existing.service != member.service:
-                existing.service = member.service
+                existing.change_service(member.service)
                 self.index.add(existing)
                 self._note_change()
             return None
@@ -239,11 +278,24 @@
         that left. One of them does not displace an agent that answers at its address.
         """
         holder = self.member_by_address.get(member.address)
-        if holder is None or holder.name == member.name:
-            return self.add_or_update(member)
-        if holder.is_identified() and not holder.is_dead(now):
+        is_other = holder is not None and holder.name != member.name
+        if is_other and holder.is_identified() and not holder.is_silent(now):
             return None
-        return self.add_or_update(member)
+        added = self.add_or_update(member)
+        if member.stopped_process:
+            listed = self.member_by_name[member.name]
+            self.record_stop(listed, member.stopped_process, now)
+        return added
+
+    def record_stop(self, member: Member, process: int, now: float) -> bool:
+        """Record that a process of a member stops and leaves flows to its server.
+
+        :param member: the member.
+        :param process: number of the process, as in its status.
+        :param now: the time in seconds.
+        :return: whether the stop was not known.
+        """
+        return member.begin_absence(process, now + self._max_flow_seconds)
 
     def mark_unlisted(self, name: str) -> Member | None:
         """Record that the store no longer holds the key of a member."""
@@ -475,6 +527,7 @@
             member
             for member in self.member_by_name.values()
             if member.silent_seconds(now) > EXPIRE_AFTER_SECONDS
+            and not member.is_away(now)
         ]
 
     def _load_in_tenths(self, member: Member) -> int:
--- a/src/egretjunction/decisions/relay_searching.py
+++ b/src/egretjunction/decisions/relay_searching.py
@@ -230,7 +230,7 @@
             undecided=candidates.bit_count(),
             unasked=(candidates & ~search.asked).bit_count(),
             members=','.join(
-                f'{member.name}:{member.status.state.name.lower()}' for member in named
+                f'{member.name}:{_describe_state(member, now)}' for member in named
             ),
             complete=is_complete,
             ms=effects.milliseconds(now - search.started_at),
@@ -283,3 +283,7 @@
             search.record.denied &= ~mask
             search.asked &= ~mask
             search.unsure &= ~mask
+
+
+def _describe_state(member: relay_members.Member, now: float) -> str:
+    return 'away' if member.is_away(now) else member.status.state.name.lower()
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -310,18 +310,17 @@
         To be called only when the pauses of this process are excluded: after one, a
         message may be handled before the answers that came meanwhile.
         """
-        self._is_lost = self._is_overdue(now)
+        unanswered_since = min(self._unanswered_since, self._probed_since)
+        is_unanswered = now - unanswered_since > LOST_AFTER_SECONDS
+        self._is_lost = is_unanswered and self.is_overdue(now)
         return self._is_lost
 
-    def _is_overdue(self, now: float) -> bool:
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether a server that sent heartbeats misses several in a row."""
         if self._last_heartbeat is None:
             return False
         overdue_seconds = OVERDUE_HEARTBEATS * self._heartbeat_seconds
-        is_overdue = (
-            now - max(self._last_heartbeat_at, self._last_packet_at) > overdue_seconds
-        )
-        unanswered_since = min(self._unanswered_since, self._probed_since)
-        return is_overdue and now - unanswered_since > LOST_AFTER_SECONDS
+        return not self.is_heard_since(now - overdue_seconds)
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the server is slow after its start."""
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -29,6 +29,9 @@
 MIN_PAUSE_SECONDS = 0.25
 ESTIMATES = ('request_ms', 'wait_ms', 'failure_percent')  # fields of the status
 DRAIN_MARGIN_SECONDS = 1.0  # of the grace period; left for the last call to the store
+# Entries that serve hear of the stop from the agent; only one that starts before the
+# agent returns needs the store.
+MAX_STOP_LISTING_SECONDS = 1.0
 
 
 class RelayAgent:
@@ -78,6 +81,7 @@
         )
         self._may_list = False
         self._listing_thread: threading.Thread | None = None
+        self._stop_listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
         self._last_tick_at = self._clock()
         self._loop = _loop.Loop()
@@ -166,8 +170,16 @@
         if self._draining_since is not None:
             return
         self._draining_since = self._clock()
-        self._log('agent_draining', flows=self._flows.flow_count)
         self._executor.apply(self._flows.begin_shutdown(self._clock()))
+        leaves_flows = relay_agent.leaves_flows(self._flows, self._clock())
+        self._log(
+            'agent_draining',
+            flows=self._flows.flow_count,
+            leaves_flows=leaves_flows,
+            process=self._flows.process,
+        )
+        if leaves_flows and self._may_list:
+            self._stop_listing_thread = _process.start(self._list_stop, self._log)
 
     def _send_to_server(self, raw: bytes, token: int) -> None:
         datagram = self._platform.codec.with_token(raw, token) if token else raw
@@ -227,11 +239,15 @@
                 self._start_listing(self._check_listing)
             return
         drained_seconds = now - self._draining_since
-        is_idle = relay_agent.can_stop(self._flows, now)
+        is_idle = relay_agent.can_stop(self._flows, now) and (
+            drained_seconds > MAX_STOP_LISTING_SECONDS or not self._is_listing_stop()
+        )
         max_drain_seconds = self._settings.grace_seconds - DRAIN_MARGIN_SECONDS
         if drained_seconds > max_drain_seconds or (
             is_idle and drained_seconds > MIN_DRAIN_SECONDS
         ):
+            # The datagrams that announced the stop may have been lost.
+            self._executor.apply(self._flows.broadcast_status(now))
             self._loop.stop()
 
     def _list_once_server_is_seen(self) -> None:
@@ -254,13 +270,28 @@
         if self._listing_thread is None or not self._listing_thread.is_alive():
             self._listing_thread = _process.start(task, self._log)
 
-    def _own_item(self) -> tuple[str, bytes]:
+    def _own_item(self, stopped_process: int = 0) -> tuple[str, bytes]:
         return listings.agent_item(
             self._settings.name,
             self._settings.service,
             self._settings.domain,
             self._settings.entries,
+            stopped_process,
+        )
+
+    def _is_listing_stop(self) -> bool:
+        thread = self._stop_listing_thread
+        return thread is not None and thread.is_alive()
+
+    def _list_stop(self) -> None:
+        """List that this process ends and leaves flows to its server."""
+        if self._listing_thread is not None:
+            self._listing_thread.join()
+        item = self._own_item(self._flows.process)
+        _process.retry_until_answered(
+            lambda: self._platform.store.put(*item), self._log, 'put own stop'
         )
+        self._log('agent_stop_listed', key=item[0])
 
     def _check_listing(self) -> None:
         """List this agent again if the store has lost its key; make one attempt."""
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -63,7 +63,9 @@
         self._platform = platform
         self._log = log
         self._clock = time.monotonic
-        self._members = relay_members.Members(entry_settings.domain)
+        self._members = relay_members.Members(
+            entry_settings.domain, entry_settings.max_flow_seconds
+        )
         self._routes = relay_routes.Routes()
         self._flows = relay_entry.EntryFlows(
             self._members,
@@ -173,6 +175,7 @@
                     'flows': member.status.flows,
                     'silent_seconds': round(member.silent_seconds(now), 3),
                     'listed': member.is_listed,
+                    'away': member.is_away(now),
                     'evacuated': member.is_evacuated(),
                 }
                 for member in self._members.member_by_name.values()
@@ -384,7 +387,12 @@
             self._log('listing_malformed', key=item.key)
             return
         if self._members.add_listed(member, self._clock()) is not None:
-            self._log('member_listed', member=member.name, service=member.service)
+            self._log(
+                'member_listed',
+                member=member.name,
+                service=member.service,
+                stopped_process=member.stopped_process,
+            )
 
 
 def _placer_of(
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -14,10 +14,11 @@
 ERA_KEY = 'egretjunction/era'
 
 
-class _AgentListing(msgspec.Struct):
+class _AgentListing(msgspec.Struct, omit_defaults=True):
     service: str
     domain: str
     address: str
+    stopped: _decoding.Natural = 0
 
 
 class _EntryListing(msgspec.Struct):
@@ -42,10 +43,18 @@
 
 
 def agent_item(
-    name: str, service: str, domain: str, address: addresses.Address
+    name: str,
+    service: str,
+    domain: str,
+    address: addresses.Address,
+    stopped_process: int = 0,
 ) -> tuple[str, bytes]:
-    """Return the key and the value that list an agent."""
-    listing = _AgentListing(service, domain, str(address))
+    """Return the key and the value that list an agent.
+
+    :param stopped_process: number of the agent's process that ends while its backend
+        server goes on, 0 while the agent runs.
+    """
+    listing = _AgentListing(service, domain, str(address), stopped_process)
     return AGENTS_PREFIX + name, msgspec.json.encode(listing)
 
 
@@ -85,7 +94,9 @@
     except (msgspec.DecodeError, ValueError):
         return None
     name = item.key.removeprefix(AGENTS_PREFIX)
-    return relay_members.Member(name, listing.service, listing.domain, address)
+    return relay_members.Member(
+        name, listing.service, listing.domain, address, listing.stopped
+    )
 
 
 def read_entry(item: store.Item) -> Peer | None:
--- a/src/egretjunction/wire/relaying.py
+++ b/src/egretjunction/wire/relaying.py
@@ -56,6 +56,8 @@
     :param server_born: start time of its backend server, as the server states it; it
         names the incarnation, and is 0 if there is none.
     :param process: random number that the process of the agent drew at its start.
+    :param leaves_flows: whether the process of the agent is ending while its backend
+        server, which may hold flows, goes on.
     """
 
     state: State
@@ -72,6 +74,7 @@
     failure_percent: int = 0
     server_born: int = 0
     process: int = 0
+    leaves_flows: bool = False
 
 
 class Offer(msgspec.Struct, array_like=True, tag=1):
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -114,6 +114,13 @@
             )
             return connection.getresponse().status
 
+    def leave(self):
+        """Send the backend server's leave call; return the response status."""
+        connection = http.client.HTTPConnection(AGENT_HOST, self.http + 1, timeout=1)
+        with contextlib.closing(connection):
+            connection.request('DELETE', '/instances/i-1')
+            return connection.getresponse().status
+
     def log(self, role):
         """Return the log of a daemon."""
         return (self.folder / f'{role}.log').read_text('utf-8')
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -186,7 +186,7 @@
 
     :param placement_seed: seed of placement by earliest finish; None for least loaded.
     """
-    members = relay_members.Members(domain)
+    members = relay_members.Members(domain, MAX_FLOW_SECONDS)
     members.is_watched = True
     active_routes = relay_routes.Routes()
     route = relay_routes.Route('r', ROUTE, {SERVICE: 1})
