An agent waits for its server's first heartbeat from when it can receive one

What callers would see: after a restart on a slow machine, an agent denies flows that its server holds, and entries reset them (nobody_holds_it).

A server counts as absent when no heartbeat came for 1.25 intervals and a probe stays unanswered. The time was counted from the start of the process; heartbeats that the server sent while the interpreter and the modules were loaded were refused, and the next one can come a whole interval after the sockets are open. With an interval of 770 ms, an agent that takes more than about 0.2 s to start can miss it. A probe with a bare acknowledgement is not answered by a server that holds its flow.

Change: the time counts from when the sockets are open. The age of the process, which tells an agent that started together with its server, still counts from its start.

Evidence: found by reading, not seen in a run. The new test failed before (absent 0.4 s after the sockets were open, with heartbeats each second). Servers that are gone after a power loss are denied later by the time that an agent takes to start.

--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -85,7 +85,8 @@
     :param service: service that the server must provide; heartbeats of another
         service are ignored.
     :param heartbeat_seconds: interval between heartbeats.
-    :param started_at: start of this process, in the clock of all times passed in.
+    :param started_at: start of this process, in the clock of all times passed in; its
+        sockets are open from ``record_listening`` on.
     """
 
     __slots__ = (
@@ -97,6 +98,7 @@
         '_last_heartbeat',
         '_last_heartbeat_at',
         '_last_packet_at',
+        '_listening_since',
         '_past_borns',
         '_probed_since',
         '_started_at',
@@ -111,6 +113,7 @@
     ) -> None:
         self.service = service
         self._started_at = started_at
+        self._listening_since = started_at
         self._probed_since = math.inf
         self._heartbeat_seconds = heartbeat_seconds
         self._last_heartbeat: Heartbeat | None = None
@@ -206,6 +209,10 @@
             waited_seconds >= REPEATED_HEARTBEATS * self._heartbeat_seconds
         )
 
+    def record_listening(self, now: float) -> None:
+        """Record that heartbeats can be received from now on."""
+        self._listening_since = now
+
     def record_predecessor(self, born: int) -> bool:
         """Record that an earlier process of the agent followed an incarnation.
 
@@ -270,6 +277,7 @@
         self._candidate_at += seconds
         self._unanswered_since += seconds
         self._started_at += seconds
+        self._listening_since += seconds
         self._probed_since += seconds
 
     def has_been_seen(self) -> bool:
@@ -277,9 +285,12 @@
         return self._last_heartbeat is not None or self._last_packet_at > -math.inf
 
     def is_expected(self, now: float) -> bool:
-        """Tell whether the first heartbeat since the start is still to be expected."""
+        """Tell whether the first heartbeat since the start is still to be expected.
+
+        Those that a server sent before the sockets were open were refused.
+        """
         overdue_seconds = ABSENT_HEARTBEATS * self._heartbeat_seconds
-        waited_seconds = now - self._started_at
+        waited_seconds = now - self._listening_since
         return not self.has_been_seen() and waited_seconds <= overdue_seconds
 
     def is_absent(self, now: float) -> bool:
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -113,6 +113,7 @@
             self._settings.metrics, _http.page_handler(render_by_path), self._loop
         )
         self._register_gauges()
+        self._server.record_listening(self._clock())
         _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
         self._log('agent_started', entries=str(self._settings.entries))
         self._loop.run()
--- a/tests/decisions/test_relay_server.py
+++ b/tests/decisions/test_relay_server.py
@@ -84,3 +84,12 @@
     other.service = 'nobody'
     assert server.record_heartbeat(other, 1) is CHANGE.REJECTED
     assert not server.has_taken(other)
+
+
+def test_server_is_not_absent_because_its_agent_was_slow_to_start():
+    """Guards against flows that are denied before the first heartbeat could arrive."""
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS, started_at=10.0)
+    server.record_listening(10.8)
+    server.record_probe(11.5)
+    assert not server.is_absent(12.0)
+    assert server.is_absent(12.1)
