An entry that learns of a route late doesn't reset the route's open flows

What callers would see: a flow of a route that was just added moves, at a planned restart, to an entry that has not put the version into force yet, and is reset (no_route).

The client of an open flow got its route from a version that some entry has in force; an entry that never knew the route can't tell that it was removed.

Change: a later packet for an address that no adopted version lists gets no answer until any accepted version would be in force, as the settings bound it; then it is reset as before. Clients of a route that was removed while the entry was away wait for the bound, or for their deadline.

Three of the five new tests failed with the old condition in place and pass now.

--- a/src/egretjunction/decisions/relay_entry.py
+++ b/src/egretjunction/decisions/relay_entry.py
@@ -30,6 +30,8 @@
     :param codec: reads packets and derives the route's address from a flow's key.
     :param link_mbps: capacity of the entry's link in megabits per second.
     :param max_flow_seconds: age from which a flow may be dropped.
+    :param configuration_seconds: time within which an accepted configuration must be in
+        force.
     :param placer: places first packets by expected finish; None for the least loaded
         member.
     """
@@ -41,6 +43,7 @@
         codec: packets.Codec,
         link_mbps: float,
         max_flow_seconds: float,
+        configuration_seconds: float,
         placer: placing.Placer | None = None,
     ) -> None:
         self._placer = placer
@@ -54,7 +57,7 @@
         self._waiting_offers = placer.queue if placer else relay_waiting.WaitingOffers()
         self._tokens = relay_pending.Tokens()
         self._searches = relay_searching.Searches(
-            members, routes, codec, self._tokens, link_mbps
+            members, routes, codec, self._tokens, link_mbps, configuration_seconds
         )
         self._last_cleanup_at = float('-inf')
         self._last_reoffer_at = float('-inf')
--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -11,6 +11,7 @@
 FALLBACK_TARGET_SECONDS = 0.2
 FALLBACK_TIMEOUT_SECONDS = 1.0
 MAX_COLD_PER_SECOND = 1_000_000_000  # a higher figure is a typing error
+MAX_UNKNOWN_ADDRESSES = 1024  # the oldest is dropped first
 
 
 class Route:
@@ -179,6 +180,36 @@
         return self._services_by_address.get(address, [])
 
 
+class UnknownAddresses:
+    """Addresses that clients send to and that no adopted version lists.
+
+    An entry may put a version into force later than the others, or have started after a
+    route was removed.
+
+    :param configuration_seconds: time within which accepted versions must be in force.
+    """
+
+    __slots__ = ('_configuration_seconds', '_seen_by_address')
+
+    def __init__(self, configuration_seconds: float) -> None:
+        self._configuration_seconds = configuration_seconds
+        self._seen_by_address: dict[addresses.Address, tuple[float, float]] = {}
+
+    def has_no_route(self, address: addresses.Address, now: float) -> bool:
+        """Tell whether a version that lists the address would be in force by now.
+
+        :param address: destination of a client's packet.
+        :param now: the time in seconds.
+        """
+        first_seen_at, last_seen_at = self._seen_by_address.pop(address, (now, now))
+        if now - last_seen_at > self._configuration_seconds:
+            first_seen_at = now
+        self._seen_by_address[address] = (first_seen_at, now)
+        if len(self._seen_by_address) > MAX_UNKNOWN_ADDRESSES:
+            self._seen_by_address.pop(next(iter(self._seen_by_address)))
+        return now - first_seen_at >= self._configuration_seconds
+
+
 def choose_service(route: Route, key: bytes) -> str:
     """Choose the service of a new flow by weight.
 
--- a/src/egretjunction/decisions/relay_searching.py
+++ b/src/egretjunction/decisions/relay_searching.py
@@ -25,6 +25,8 @@
     :param codec: derives the route's address from a flow's key.
     :param tokens: tokens of the entry's offers and searches.
     :param link_mbps: capacity of the entry's link in megabits per second.
+    :param configuration_seconds: time within which an accepted configuration must be in
+        force.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         codec: packets.Codec,
         tokens: relay_pending.Tokens,
         link_mbps: float,
+        configuration_seconds: float,
     ) -> None:
         self._members = members
         self._routes = routes
@@ -43,6 +46,7 @@
         self._denials = relay_denials.Denials()
         self._candidates = relay_candidates.Candidates(members, self._clear)
         self._question_queue = relay_questions.QuestionQueue(link_mbps)
+        self._unknown_addresses = relay_routes.UnknownAddresses(configuration_seconds)
 
     def on_packet(
         self,
@@ -65,8 +69,11 @@
             return []
         destination = self._codec.destination_of(packet.key)
         services = self._routes.known_services(destination)
-        if not services or self._routes.route_at(destination) is None:
-            return [effects.reset_of(packet, 'no_route')]
+        if self._routes.route_at(destination) is None:
+            is_removed = services or self._unknown_addresses.has_no_route(
+                destination, now
+            )
+            return [effects.reset_of(packet, 'no_route')] if is_removed else []
         if self._tokens.count >= relay_pending.MAX_PENDING:
             return []
         record = self._denials.record_of(packet, now)
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -73,6 +73,7 @@
             platform.codec,
             entry_settings.link_mbps,
             entry_settings.max_flow_seconds,
+            entry_settings.configuration_ms / MILLISECONDS_PER_SECOND,
             _placer_of(entry_settings, self._members, platform.codec.opening),
         )
         self._members_listed_at: float | None = None
--- a/tests/decisions/test_relay_searching.py
+++ b/tests/decisions/test_relay_searching.py
@@ -1,8 +1,10 @@
 """An entry's searches for owners of flows: denials, repeats, and what they log."""
 
+from egretjunction import addresses
 from egretjunction.decisions import relay_denials
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
+from egretjunction.decisions import relay_routes
 from egretjunction.wire import relaying
 from tests import relay_builders as build
 
@@ -280,3 +282,52 @@
     _deny(entry, 'm-1', emitted, 5.01)
     fields = _failure(_run(entry, 5, 6.1))
     assert (fields['undecided'], fields['complete']) == (0, False)
+
+
+NEW_ROUTE = addresses.Address('198.18.0.7', 8443)
+NEW_ROUTE_KEY = build.KEY[:6] + addresses.pack(NEW_ROUTE)
+
+
+def _adopt_new_route(entry, version=2):
+    route = relay_routes.Route('new', NEW_ROUTE, {build.SERVICE: 1})
+    entry.routes.adopt(relay_routes.RouteTable(version, [route]))
+
+
+def test_open_flow_of_a_route_that_is_not_in_force_here_yet_is_not_reset():
+    """Guards against the reset of a flow that moves to an entry which learns later."""
+    entry = build.entry('m-1')
+    assert not entry.on_client_packet(build.request(NEW_ROUTE_KEY), 10)
+    _adopt_new_route(entry)
+    assert _asked(entry.on_client_packet(build.request(NEW_ROUTE_KEY), 10.4))
+
+
+def test_open_flow_is_reset_once_any_version_with_its_route_would_be_in_force():
+    entry = build.entry('m-1')
+    for step in range(13):
+        now = 10 + step * build.CONFIGURATION_SECONDS / 12
+        emitted = entry.on_client_packet(build.request(NEW_ROUTE_KEY), now)
+        assert bool(build.of_type(emitted, effects.Reset)) == (step == 12)
+
+
+def test_flow_of_an_address_that_was_not_seen_lately_is_not_reset_at_once():
+    entry = build.entry('m-1')
+    for now in (10, 10 + 2 * build.CONFIGURATION_SECONDS):
+        assert not entry.on_client_packet(build.request(NEW_ROUTE_KEY), now)
+
+
+def test_open_flow_of_a_removed_route_is_reset_at_once():
+    entry = build.entry('m-1')
+    _adopt_new_route(entry)
+    entry.routes.adopt(relay_routes.RouteTable(3, []))
+    emitted = entry.on_client_packet(build.request(NEW_ROUTE_KEY), 10)
+    (reset,) = build.of_type(emitted, effects.Reset)
+    assert reset.reason == 'no_route'
+
+
+def test_addresses_without_a_route_are_bounded():
+    unknown = relay_routes.UnknownAddresses(build.CONFIGURATION_SECONDS)
+    for number in range(relay_routes.MAX_UNKNOWN_ADDRESSES + 1):
+        unknown.has_no_route(addresses.Address('198.18.0.9', number), 0)
+    bound = build.CONFIGURATION_SECONDS
+    assert not unknown.has_no_route(addresses.Address('198.18.0.9', 0), bound)
+    assert unknown.has_no_route(addresses.Address('198.18.0.9', 9), bound)
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -24,6 +24,7 @@
 SERVICE = 'bookings'
 SERVICE_TAG = relaying.compute_service_tag(SERVICE)
 MAX_FLOW_SECONDS = 60.0
+CONFIGURATION_SECONDS = 3.0
 KEY = b'\x64\x40\x00\x07\x9c\x41' + addresses.pack(ROUTE)
 
 
@@ -197,7 +198,13 @@
             members, domain, random.Random(placement_seed), Codec.opening
         )
     flows = relay_entry.EntryFlows(
-        members, active_routes, Codec(), link_mbps, MAX_FLOW_SECONDS, placer
+        members,
+        active_routes,
+        Codec(),
+        link_mbps,
+        MAX_FLOW_SECONDS,
+        CONFIGURATION_SECONDS,
+        placer,
     )
     for name in names:
         member = relay_members.Member(name, SERVICE, domain, member_address(name))
