--- a/tests/relay/soak_traffic.py
+++ b/tests/relay/soak_traffic.py
@@ -97,6 +97,12 @@
             self._last_port += 1
             self._flow_by_port[self._last_port] = _Flow(self._last_port)
 
+    def ports_of(self, server):
+        """Return the ports of the flows that are open at a server."""
+        return {
+            port for port, flow in self._flow_by_port.items() if flow.server == server
+        }
+
     def send_due(self, entries, now):
         """Send first packets and requests that are due, each through any entry."""
         for flow in list(self._flow_by_port.values()):
