The soak keeps stopped agents away for up to 6 s

Its processes were started again at once, so that a planned restart took as long as a start.

A client whose flow is reset waits 0.3 s before it opens the next one. What counts as broken is unchanged.

--- a/tests/relay/soak_traffic.py
+++ b/tests/relay/soak_traffic.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import time
 
 import flow_packets
 
@@ -10,6 +11,7 @@
 SYN, ACK, RST, BOUNCED = 8, 2, 64, 1
 ROUTE = ('198.18.0.1', 443)
 RESEND_SECONDS = 0.2
+REOPEN_SECONDS = 0.3  # between the reset of a flow and the first packet of the next
 ANSWER_SECONDS = 3.0  # after which a request of an open flow counts as unanswered
 
 
@@ -91,11 +93,15 @@
         self._flow_by_port = {}
         self._last_port = 2000
 
-    def open(self, count):
-        """Open more flows."""
+    def open(self, count, first_at=float('-inf')):
+        """Open more flows.
+
+        :param first_at: time of their first packets; by default they are due at once.
+        """
         for _ in range(count):
             self._last_port += 1
-            self._flow_by_port[self._last_port] = _Flow(self._last_port)
+            flow = self._flow_by_port[self._last_port] = _Flow(self._last_port)
+            flow.sent_at = first_at
 
     def ports_of(self, server):
         """Return the ports of the flows that are open at a server."""
@@ -130,7 +136,7 @@
             if flow.server is not None:
                 self.broken.append((client[1], 'reset', flow.request))
             self._flow_by_port.pop(flow.port)
-            self.open(1)
+            self.open(1, time.monotonic() + REOPEN_SECONDS)
         elif flags & SYN:
             flow.server = flow.server or sequence // 1000
         elif body:
--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -31,6 +31,7 @@
 LAST_OUTAGE_SECONDS = 2.2
 STABLE_SECONDS = 4.0  # machines whose connections went silent count as disturbed
 BOUND_SECONDS = 3.0
+MAX_AWAY_SECONDS = 6.0  # of an agent that is stopped as planned
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
 
@@ -59,6 +60,8 @@
         self._settings_path.write_text(self._settings(soak), 'utf-8')
         self.started_at = 0.0
         self.is_stopping = False
+        self.away_seconds = 0.0
+        self._ended_at = None
 
     def _settings(self, soak):
         own = {
@@ -78,6 +81,8 @@
     def start(self):
         """Start the process."""
         self.is_stopping = False
+        self.away_seconds = 0.0
+        self._ended_at = None
         self.started_at = time.time()
         with self.log_path.open('ab') as log:
             self.popen = subprocess.Popen(
@@ -87,6 +92,14 @@
                 stderr=log,
             )
 
+    def start_if_due(self):
+        """Start the process again once it has ended and its absence is over."""
+        if self.popen.poll() is None:
+            return
+        self._ended_at = self._ended_at or time.monotonic()
+        if time.monotonic() - self._ended_at >= self.away_seconds:
+            self.start()
+
     def get(self, port, path):
         """Return status and body of a GET request."""
         connection = http.client.HTTPConnection(self.host, port, timeout=0.5)
@@ -137,6 +150,7 @@
         # A generator of their own leaves the other disruptions of a seed as they were.
         draw = random.Random(f'silences {seed}')
         self._silences_at = [draw.random() for _ in range(draw.randint(0, 2))]
+        self._absence_draw = random.Random(f'absences {seed}')
 
     def run(self, seconds):
         """Play the run; return what was broken."""
@@ -207,8 +221,7 @@
         for _, action in due:
             action()
         for process in (*self.agents, *self.entries):
-            if process.popen.poll() is not None:
-                process.start()
+            process.start_if_due()
 
     def _later(self, seconds, action):
         self.events.append((time.monotonic() + seconds, action))
@@ -308,6 +321,8 @@
             return
         if number != signal.SIGHUP:
             process.is_stopping = True
+        if number == signal.SIGTERM and process.role == 'agent':
+            process.away_seconds = self._absence_draw.uniform(0, MAX_AWAY_SECONDS)
         process.popen.send_signal(number)
 
     def _freeze(self):
