--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -417,7 +417,7 @@
         members = [
             member
             for member in self.member_by_name.values()
-            if member.service == service and not member.is_dead(now)
+            if member.service == service and not member.is_silent(now)
         ]
         return bool(members) and all(member.is_evacuated() for member in members)
 
--- a/tests/decisions/test_relay_absences.py
+++ b/tests/decisions/test_relay_absences.py
@@ -180,3 +180,14 @@
     )
     agent.begin_shutdown(0.5)
     assert agent.status(0.5).leaves_flows
+
+
+def test_service_whose_only_agent_outside_evacuated_domains_is_away_is_evacuated():
+    """Guards against first packets that wait for an agent to return."""
+    entry = build.entry('m-1', 'm-2')
+    members = entry.members
+    members.member_by_name['m-2'].is_domain_evacuated = True
+    _receive(entry, _stopped_status(), 0)
+    members.member_by_name['m-1'].record_request(0)
+    assert not members.is_service_evacuated(build.SERVICE, 0.5)
+    assert members.is_service_evacuated(build.SERVICE, SILENT_AT)
