--- a/tests/relay/soak_traffic.py
+++ b/tests/relay/soak_traffic.py
@@ -71,6 +71,7 @@
         self.request = 0
         self.sent_at = self.asked_at = float('-inf')
         self.is_answered = True
+        self.answered_at = None
         self.copies = 0
 
 
@@ -89,6 +90,7 @@
         self.answers = 0
         self.unanswered = 0
         self.unopened = 0
+        self.longest_silence = 0.0
         self._draw = draw
         self._flow_by_port = {}
         self._last_port = 2000
@@ -148,6 +150,10 @@
         if int(request) == flow.request and not flow.is_answered:
             flow.is_answered = True
             self.answers += 1
+            now = time.monotonic()
+            silence = now - (flow.answered_at or now)
+            self.longest_silence = max(self.longest_silence, silence)
+            flow.answered_at = now
 
     def _open_or_give_up(self, flow, entries, now):
         if flow.copies == 3 and now - flow.sent_at > 1:
