--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -253,15 +253,16 @@
     :param work_seconds: time that a request takes.
     :param response_bytes: size of the body of a response.
     :param is_cut_off: whether its heartbeats are held up on their way.
+    :param first_sequence: number of its first heartbeat.
     """
 
     def __init__(self, lab, machine, name, *, work_seconds=0.03, response_bytes=1000,
-                 is_cut_off=False):
+                 is_cut_off=False, first_sequence=1):
         self.lab, self.machine, self.name = lab, machine, name
         self.born = int(time.time() * 1000)
         self.work_seconds = work_seconds
         self.response_bytes = response_bytes
-        self.sequence = 0
+        self.sequence = first_sequence - 1
         self.held_up = [] if is_cut_off else None
         self.state = 'ready'
         self.flow_by_key = {}
@@ -607,6 +608,12 @@
             self.popen.wait()
         self.lab.record(f'{self.name} has ended')
 
+    def kill(self):
+        """Kill the process."""
+        self.popen.kill()
+        self.popen.wait()
+        self.lab.record(f'{self.name} is killed')
+
     def events(self, name):
         """Return the log lines of an event."""
         log = (self.lab.folder / f'{self.name}.log').read_text('utf-8', 'replace')
