--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -254,12 +254,15 @@
     :param response_bytes: size of the body of a response.
     :param is_cut_off: whether its heartbeats are held up on their way.
     :param first_sequence: number of its first heartbeat.
+    :param cold_seconds: how long it is slow after its start, as it states.
+    :param clock_ahead: seconds by which its machine's clock is ahead when it starts.
     """
 
     def __init__(self, lab, machine, name, *, work_seconds=0.03, response_bytes=1000,
-                 is_cut_off=False, first_sequence=1):
+                 is_cut_off=False, first_sequence=1, cold_seconds=0.0, clock_ahead=0.0):
         self.lab, self.machine, self.name = lab, machine, name
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() + clock_ahead) * 1000)
+        self.cold_until = time.monotonic() + cold_seconds
         self.work_seconds = work_seconds
         self.response_bytes = response_bytes
         self.sequence = first_sequence - 1
@@ -298,8 +301,8 @@
             'service': self.machine.service,
             'address': f'{self.machine.ip}:{self.lab.ports["app"]}',
             'zone': self.machine.zone, 'version': 'v1', 'capacity': 2,
-            'state': self.state, 'cold_remaining_ms': 0, 'sequence': self.sequence,
-            'born': self.born,
+            'state': self.state, 'sequence': self.sequence, 'born': self.born,
+            'cold_remaining_ms': max(0, round((self.cold_until - time.monotonic()) * 1000)),
         }
 
     def _beat(self):
