Review scripts end with 2 on any error, and end what they started when stopped

An error in a script's own code counted as a broken rule (exit 1), and a script that was told to end left its daemons behind. Scripts also end themselves after 110 s, and the route of the stand-ins is a loopback address.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -44,6 +44,7 @@
 ACKNOWLEDGED_PACKETS = 2
 ACCEPTED_RESET_DISTANCE = 76_800
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+MAX_SECONDS = 110  # after which a script ends all that it started, and itself
 
 
 class CannotRunError(Exception):
@@ -652,7 +653,7 @@
         ]
         self.client_ip = f'127.{network}.3.1'
         self.store_ip = f'127.{network}.4.1'
-        self.route = ('198.18.0.1', 443)
+        self.route = (f'127.{network}.5.1', 443)
         machines = [*self.entries, *self.sides]
         ips = [*(machine.ip for machine in machines), self.client_ip, self.store_ip]
         self.ports = free_ports(
@@ -869,16 +870,29 @@
     :param play: plays the case in a lab.
     :param options: passed on to the lab.
     """
-    lab = Lab(folder, **options)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, _stop)
+    signal.alarm(MAX_SECONDS)
+    lab = None
     code = EXIT_NOT_RUN
     try:
+        lab = Lab(folder, **options)
         play(lab)
         code = EXIT_BROKEN if lab.violations else EXIT_HELD
-    except CannotRunError as error:
-        lab.record(f'could not run: {error}')
+    except Exception as error:  # whatever keeps the case from running breaks no rule
+        sys.stderr.write(f'could not run: {error!r}\n')
+        if lab is not None:
+            lab.record(f'could not run: {error!r}')
     finally:
-        lab.record(f'result: {code}, broken: {sorted(set(lab.violations))}')
-        if os.environ.get('KEEP_LOGS'):
-            lab.keep_logs(os.environ['KEEP_LOGS'])
-        lab.close()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+            signal.signal(number, signal.SIG_IGN)
+        if lab is not None:
+            lab.record(f'result: {code}, broken: {sorted(set(lab.violations))}')
+            if os.environ.get('KEEP_LOGS'):
+                lab.keep_logs(os.environ['KEEP_LOGS'])
+            lab.close()
     sys.exit(code)
+
+
+def _stop(number, _frame):
+    raise CannotRunError(f'ended by signal {number}')
