A heartbeat that is incomplete or names another address counts for nothing

Cause: the adapter decoded only the fields that the agent uses, and the agent never compared the address. A heartbeat of another writer "names no backend to use", yet was believed.

Ruled out: comparing names, since servers come back under other names.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -183,6 +183,7 @@
                     'heartbeat_rejected',
                     server=heartbeat.name,
                     service=heartbeat.service,
+                    address=str(heartbeat.address),
                     born=heartbeat.born,
                     followed=self.server.name,
                 )
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from egretjunction import addresses
 from egretjunction.wire import relaying
 
 ANSWER_TIMEOUT_SECONDS = 0.15  # servers accept or bounce a first packet within 1 ms
@@ -23,8 +24,9 @@
 class HeartbeatChange(enum.Enum):
     """What a heartbeat changed in the known state of the server.
 
-    A stale heartbeat is an older one of the same incarnation, a rejected one of another
-    service or of an incarnation that is not the newest one, as far as known.
+    A stale heartbeat is an older one of the same incarnation. A rejected one is of
+    another service or address, or of an incarnation that is not the newest one, as far
+    as known.
     """
 
     NOTHING = 'nothing'
@@ -42,11 +44,13 @@
     :param born: start of this incarnation in milliseconds since the epoch.
     :param sequence: number of this heartbeat, increasing within an incarnation.
     :param slots: number of requests that the server runs concurrently.
+    :param address: address at which the server receives packets.
     :param is_draining: whether the server accepts no new flows.
     :param cold_ms: remaining milliseconds of slow operation after the start.
     """
 
     __slots__ = (
+        'address',
         'born',
         'cold_ms',
         'is_draining',
@@ -64,6 +68,7 @@
         sequence: int,
         slots: int,
         *,
+        address: addresses.Address | None = None,
         is_draining: bool = False,
         cold_ms: int = 0,
     ) -> None:
@@ -72,6 +77,7 @@
         self.born = born
         self.sequence = sequence
         self.slots = slots
+        self.address = address
         self.is_draining = is_draining
         self.cold_ms = cold_ms
 
@@ -87,9 +93,12 @@
     :param heartbeat_seconds: interval between heartbeats.
     :param started_at: start of this process, in the clock of all times passed in; its
         sockets are open from ``record_listening`` on.
+    :param address: address at which the server receives packets; heartbeats of another
+        address are ignored. None accepts any.
     """
 
     __slots__ = (
+        '_address',
         '_candidate',
         '_candidate_at',
         '_cold_until',
@@ -109,9 +118,14 @@
     )
 
     def __init__(
-        self, service: str, heartbeat_seconds: float, started_at: float = 0
+        self,
+        service: str,
+        heartbeat_seconds: float,
+        started_at: float = 0,
+        address: addresses.Address | None = None,
     ) -> None:
         self.service = service
+        self._address = address
         self._started_at = started_at
         self._listening_since = started_at
         self._probed_since = math.inf
@@ -154,7 +168,7 @@
         :param now: the time in seconds.
         :param age_seconds: time since the server's start by the time of day.
         """
-        if heartbeat.service != self.service:
+        if not self._is_named_by(heartbeat):
             return HeartbeatChange.REJECTED
         previous = self._last_heartbeat
         is_restarted = previous is not None and heartbeat.born != previous.born
@@ -185,6 +199,11 @@
             return HeartbeatChange.RESTARTED
         return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
 
+    def _is_named_by(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a heartbeat is of a server of this service and address."""
+        is_elsewhere = self._address is not None and heartbeat.address != self._address
+        return heartbeat.service == self.service and not is_elsewhere
+
     def _is_successor(
         self, heartbeat: Heartbeat, previous: Heartbeat, now: float
     ) -> bool:
@@ -229,7 +248,7 @@
         followed = self._last_heartbeat
         return (
             followed is not None
-            and heartbeat.service == self.service
+            and self._is_named_by(heartbeat)
             and heartbeat.born == followed.born
         )
 
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -61,6 +61,7 @@
             agent_settings.service,
             agent_settings.heartbeat_ms / relay_server.MILLISECONDS_PER_SECOND,
             started_at,
+            agent_settings.backend,
         )
         self._announcer = relay_announcing.Announcer(
             agent_settings.name, agent_settings.domain
--- a/tests/decisions/test_relay_server.py
+++ b/tests/decisions/test_relay_server.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from egretjunction import addresses
 from egretjunction.decisions import relay_server
 from egretjunction.wire import relaying
 from tests import relay_builders as build
@@ -86,6 +87,19 @@
     assert not server.has_taken(other)
 
 
+def test_heartbeat_of_another_address_is_rejected():
+    """Guards against the heartbeat of another server that displaces the living one."""
+    own = addresses.Address('127.0.0.1', 8080)
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS, address=own)
+    first = build.heartbeat('i-1', 5000, 1, address=own)
+    assert server.record_heartbeat(first, 0) is CHANGE.CHANGED
+    elsewhere = addresses.Address('127.0.0.2', 8080)
+    other = build.heartbeat('i-2', 6000, 1, address=elsewhere)
+    assert server.record_heartbeat(other, 9) is CHANGE.REJECTED
+    assert not server.has_taken(other)
+    assert server.name == 'i-1'
+
+
 def test_server_is_not_absent_because_its_agent_was_slow_to_start():
     """Guards against flows that are denied before the first heartbeat could arrive."""
     server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS, started_at=10.0)
--- a/tests/platform/test_backend_heartbeats.py
+++ b/tests/platform/test_backend_heartbeats.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from egretjunction import addresses
 from egretjunction import errors
 from egretjunction.relay import adapter
 
@@ -36,6 +37,7 @@
         HEARTBEAT['born'],
     )
     assert (heartbeat.slots, heartbeat.sequence, heartbeat.cold_ms) == (2, 4, 1500)
+    assert heartbeat.address == addresses.Address('10.128.0.9', 8080)
     assert heartbeat.is_draining
 
 
@@ -53,6 +55,10 @@
         {'sequence': None},
         {'born': 1.5},
         {'service': 7},
+        {'address': 7},
+        {'address': 'somewhere'},
+        {'zone': None},
+        {'version': 7},
     ],
     ids=str,
 )
@@ -61,6 +67,18 @@
         _read(**overrides)
 
 
+@pytest.mark.parametrize(
+    'name', ['address', 'zone', 'version', 'service', 'cold_remaining_ms', 'sequence']
+)
+def test_heartbeat_without_a_field_is_rejected(name):
+    """Guards against another writer's heartbeat that displaces a living server."""
+    body = {key: HEARTBEAT[key] for key in HEARTBEAT if key != name}
+    with pytest.raises(errors.PlatformFormatError, match=name):
+        backend_heartbeats.read_announcement(
+            'PUT', '/instances/i-7f3a91c2', json.dumps(body).encode()
+        )
+
+
 @pytest.mark.parametrize(
     ('method', 'path'),
     [('GET', '/instances/i-1'), ('PUT', '/instances/'), ('PUT', '/other')],
--- a/tests/relay/serving.py
+++ b/tests/relay/serving.py
@@ -109,13 +109,14 @@
     def _send_heartbeats(self):
         self._heartbeats += 1
         for number in self.server_by_number:
+            host = self.agent_by_number[number].host
             connection = http.client.HTTPConnection(
-                self.agent_by_number[number].host, soaking.ANNOUNCEMENTS, timeout=0.1
+                host, soaking.ANNOUNCEMENTS, timeout=0.1
             )
             with (
                 contextlib.closing(connection),
                 contextlib.suppress(OSError, http.client.HTTPException),
             ):
-                body = soaking.heartbeat(self._heartbeats)
+                body = soaking.heartbeat(self._heartbeats, host)
                 connection.request('PUT', '/instances/i-1', body)
                 connection.getresponse().read()
--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -35,10 +35,12 @@
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
 
-def heartbeat(sequence):
-    """Return the body of a heartbeat of a backend server."""
+def heartbeat(sequence, host):
+    """Return the body of a heartbeat of the backend server at a host."""
     body = {'service': SERVICE, 'capacity': 50, 'state': 'ready'}
-    return json.dumps(body | {'born': 1000, 'sequence': sequence})
+    body |= {'address': f'{host}:{BACKEND}', 'zone': 'a', 'version': 'v1'}
+    body |= {'cold_remaining_ms': 0, 'born': 1000, 'sequence': sequence}
+    return json.dumps(body)
 
 
 class Process:
@@ -350,7 +352,8 @@
                     contextlib.closing(connection),
                     contextlib.suppress(OSError, http.client.HTTPException),
                 ):
-                    connection.request('PUT', '/instances/i-1', heartbeat(sequence))
+                    body = heartbeat(sequence, agent.host)
+                    connection.request('PUT', '/instances/i-1', body)
                     connection.getresponse().read()
 
     def _check_readiness(self):
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -102,9 +102,20 @@
             response = connection.getresponse()
             return response.status, response.read()
 
+    def heartbeat(self):
+        """Return the body of a heartbeat of the backend server, without a number."""
+        address = '{}:{}'.format(*self.server_socket.getsockname())
+        body = {'service': SERVICE, 'address': address, 'zone': 'a', 'version': 'v1'}
+        return body | {
+            'capacity': 2,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'born': 1000,
+        }
+
     def announce(self, sequence, state='ready', **fields):
         """Send a heartbeat of the backend server; return the response status."""
-        body = {'service': SERVICE, 'capacity': 2, 'state': state, 'born': 1000}
+        body = {**self.heartbeat(), 'state': state}
         connection = http.client.HTTPConnection(AGENT_HOST, self.http + 1, timeout=1)
         with contextlib.closing(connection):
             connection.request(
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -165,10 +165,8 @@
 def test_odd_heartbeats_end_no_agent_and_later_ones_count(running):
     """Guards against an agent that ends at, or believes, an absurd heartbeat."""
     system, _ = running
-    heartbeat = {'service': daemons.SERVICE, 'capacity': 2, 'state': 'ready'}
-    heartbeat |= {'born': 1000}
     for sequence, fields in enumerate(ODD_HEARTBEATS, 10):
-        body = json.dumps({**heartbeat, 'sequence': sequence, **fields})
+        body = json.dumps({**system.heartbeat(), 'sequence': sequence, **fields})
         path = '/instances/i-1'
         daemons.put(daemons.AGENT_HOST, system.http + 1, path, body)
         time.sleep(PING_SECONDS)
@@ -176,6 +174,29 @@
         assert json.loads(system.get('agent', '/status')[1])['state'] == 'ready'
 
 
+@pytest.mark.parametrize(
+    ('odd_fields', 'left_out'),
+    [
+        ({}, ('address', 'zone', 'version')),
+        ({}, ('address',)),
+        ({'address': '127.0.10.3:9'}, ()),
+    ],
+    ids=str,
+)
+def test_heartbeat_of_another_writer_displaces_no_living_server(
+    running, odd_fields, left_out
+):
+    """Guards against flows that are reset, and a drain undone, by one odd heartbeat."""
+    system, _ = running
+    assert system.announce(10, 'draining') == 200
+    odd = {**system.heartbeat(), 'born': 2000, 'sequence': 1, **odd_fields}
+    body = json.dumps({name: odd[name] for name in odd if name not in left_out})
+    path = '/instances/i-2'
+    assert daemons.put(daemons.AGENT_HOST, system.http + 1, path, body) >= 400
+    assert json.loads(system.get('agent', '/status')[1])['state'] == 'draining'
+    assert system.announce(11, 'draining') == 200
+
+
 def test_unreadable_heartbeats_are_answered_with_an_error(running):
     system, _ = running
     for body in (b'{"extra":' + NESTED + b'}', NESTED, b'\xff', b'{}', b''):
--- a/tests/relay/test_silent_watches.py
+++ b/tests/relay/test_silent_watches.py
@@ -59,7 +59,7 @@
 
 def _announce_server(agent):
     """Send the first heartbeat of a backend server, at which its agent lists itself."""
-    body = soaking.heartbeat(1)
+    body = soaking.heartbeat(1, agent.host)
     daemons._wait_until(
         lambda: (
             daemons.put(agent.host, soaking.ANNOUNCEMENTS, '/instances/i-1', body)
