A probe that was sent before the server was heard of proves nothing

Cause: the silence that follows a probe counts as "the server holds the flow" as soon as the server is heard of later. The agent did not know since when the server lived, so that the first heartbeat of a server that had just started decided probes that no server had received.

Fix: the agent keeps since when the server has been heard of without a loss or a restart. Probes that were sent before are sent again, once for each flow in question, and only the server's own answer, a bounce or silence of a server known to live, decides them. Ruled out: denying these flows at the first heartbeat, which is wrong beside a living server whose agent was restarted.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -9,6 +9,7 @@
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_flows
+from egretjunction.decisions import relay_probes
 from egretjunction.decisions import relay_server
 from egretjunction.decisions import relay_work
 from egretjunction.decisions.load import backlog
@@ -16,11 +17,6 @@
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
-PROBE_TIMEOUT_SECONDS = 0.03  # servers bounce packets of unknown flows within 1 ms
-# What an agent reads within this time after a probe may have been sent before it, by a
-# server that has ended since: agents with little processor time read late.
-MAX_READING_DELAY_SECONDS = 0.1
-MAX_PROBE_SECONDS = 3.0  # a server that has ended counts as lost before
 ENDED_FLOW_SECONDS = 3.0  # keeps the record of an ended flow for its late packets
 ENTRY_EXPIRY_SECONDS = 10.0  # silent entries then get no more status messages
 MAX_FLOWS = 20_000
@@ -58,7 +54,7 @@
         self._codec = codec
         self._service_tag = relaying.compute_service_tag(server.service)
         self._flow_by_key: dict[bytes, relay_flows.Flow] = {}
-        self._probe_by_token: dict[int, relay_flows.Probe] = {}
+        self._probes = relay_probes.Probes(server)
         self._last_heard_by_entry: dict[addresses.Address, float] = {}
         self._backlog = backlog.Backlog(codec.destination_of, server.slots)
         self._reports = reports.Reports()
@@ -67,7 +63,6 @@
         )
         self._waiting_entries: set[addresses.Address] = set()
         self.own_domain = relay_evacuation.OwnDomain(announcer.domain)
-        self._last_token = 0
         self._reported_state = relaying.State.STARTING
         self._reported_knowledge = False
         self._handler_by_type: dict[type, typing.Any] = {
@@ -231,13 +226,14 @@
         if self._reports.is_possible(now):
             emitted += self._reports.pop_due(self.status(now), self.server.name, now)
         self.server.discount_pause(pause_seconds)
-        for pending in self._probe_by_token.values():
-            pending.discount_pause(pause_seconds)
+        self._probes.discount_pause(pause_seconds)
         is_lost = self.server.check_lost(now)
-        for token, probe in list(self._probe_by_token.items()):
-            if now >= probe.expires_at and not _is_undecided(probe, self.server, now):
-                self._probe_by_token.pop(token)
-                emitted += self._on_probe_expired(probe, now)
+        emitted += self._probes.repeat_early(self._is_in_question, now)
+        emitted += [
+            effect
+            for probe in self._probes.pop_decided(now)
+            for effect in self._on_probe_expired(probe, now)
+        ]
         if is_lost and self._flow_by_key:
             emitted.append(effects.Log('server_lost', server=self.server.name))
             emitted += self._discard_all('server_lost', now)
@@ -354,7 +350,7 @@
         self._requests.reserve(packet.key, timeout_seconds, now)
         self.server.record_sent(now)
         self.cold_limit.take(now)
-        token = self._add_probe(
+        token = self._probes.add(
             packet, entry, offer.token, now, self._codec.opening.timeout_seconds
         )
         return [effects.ToServer(offer.packet, token)]
@@ -484,7 +480,7 @@
         flow.acknowledged = packet.acknowledged
         self._requests.record_sent(packet, now)
         self.server.record_probe(now)
-        probe_token = self._add_probe(packet, entry, token, now, PROBE_TIMEOUT_SECONDS)
+        probe_token = self._probes.add(packet, entry, token, now)
         return [effects.ToServer(packet.raw, probe_token)]
 
     def _on_ping(
@@ -511,18 +507,10 @@
         pong = relaying.Pong(self._service_tag, self.status(now))
         return [*figure, effects.Send(entry, pong)]
 
-    def _add_probe(
-        self,
-        packet: packets.Packet,
-        entry: addresses.Address,
-        token: int,
-        now: float,
-        timeout_seconds: float,
-    ) -> int:
-        self._last_token = self._last_token % (packets.SEQUENCE_RANGE - 1) + 1
-        probe = relay_flows.Probe(packet, entry, token, now, now + timeout_seconds)
-        self._probe_by_token[self._last_token] = probe
-        return self._last_token
+    def _is_in_question(self, key: bytes) -> bool:
+        """Tell whether the server was probed for a flow and has not answered."""
+        flow = self._flow_by_key.get(key)
+        return flow is not None and flow.is_provisional
 
     def _on_probe_expired(
         self, probe: relay_flows.Probe, now: float
@@ -530,8 +518,8 @@
         """Handle a probe that the server did not bounce in time.
 
         Servers bounce packets of unknown flows, so that the silence of a server that
-        lives means that it holds the flow. The record of an unanswered first packet is
-        removed.
+        lives, and lived when it was sent the probe, means that it holds the flow. The
+        record of an unanswered first packet is removed.
         """
         flow = self._flow_by_key.get(probe.key)
         if probe.is_first:
@@ -543,7 +531,9 @@
         if self.server.holds_nothing(now):
             self._remove_flow(probe.key)
             return [_denial_message(probe, self.status(now))]
-        if not self.server.is_heard_since(probe.sent_at + MAX_READING_DELAY_SECONDS):
+        if not self.server.is_heard_since(
+            probe.sent_at + relay_probes.MAX_READING_DELAY_SECONDS
+        ):
             return []
         if self.server.is_unresponsive(now):
             return []
@@ -565,7 +555,7 @@
         packet: packets.Packet,
         now: float,
     ) -> list[effects.Effect]:
-        probe = self._probe_by_token.pop(packet.token, None)
+        probe = self._probes.pop(packet.token)
         flow = self._flow_by_key.get(packet.key)
         if probe is not None and flow is not None and flow.is_provisional:
             self._remove_flow(packet.key)
@@ -586,10 +576,10 @@
         emitted: list[effects.Effect] = [
             effects.Log('reset_withheld', flow=key.hex(), server=self.server.name),
         ]
-        for token, probe in list(self._probe_by_token.items()):
-            if probe.key == key:
-                self._probe_by_token.pop(token)
-                emitted.append(_denial_message(probe, self.status(now)))
+        emitted += [
+            _denial_message(probe, self.status(now))
+            for probe in self._probes.pop_of(key)
+        ]
         self._remove_flow(key)
         return emitted
 
@@ -630,11 +620,10 @@
         status = self.status(now)
         emitted += [
             _denial_message(probe, status)
-            for probe in self._probe_by_token.values()
+            for probe in self._probes.pop_all()
             if not probe.is_first
         ]
         self._flow_by_key.clear()
-        self._probe_by_token.clear()
         self._requests.clear()
         return emitted
 
@@ -677,19 +666,6 @@
     return not flows.server.is_expected(now) and not flows.active_requests(now)
 
 
-def _is_undecided(
-    probe: relay_flows.Probe, server: relay_server.Server, now: float
-) -> bool:
-    """Tell whether to wait longer for a sign that the server lives.
-
-    A server that has ended without a notice is as silent as one that holds the flow.
-    """
-    if probe.is_first or server.holds_nothing(now):
-        return False
-    is_heard = server.is_heard_since(probe.sent_at + MAX_READING_DELAY_SECONDS)
-    return not is_heard and now - probe.sent_at < MAX_PROBE_SECONDS
-
-
 def _existing_flow(now: float) -> relay_flows.Flow:
     """Return the record of a flow that the server held before this process started."""
     flow = relay_flows.Flow(now)
--- a/src/egretjunction/decisions/relay_flows.py
+++ b/src/egretjunction/decisions/relay_flows.py
@@ -84,6 +84,11 @@
         self.sent_at = sent_at
         self.expires_at = expires_at
 
+    def restart(self, now: float) -> None:
+        """Record that the packet is sent again."""
+        self.expires_at += now - self.sent_at
+        self.sent_at = now
+
     def discount_pause(self, seconds: float) -> None:
         """Exclude a pause of this process from the time without an answer."""
         self.sent_at += seconds
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -110,6 +110,7 @@
         '_listening_since',
         '_past_borns',
         '_probed_since',
+        '_seen_since',
         '_started_at',
         '_unanswered_since',
         'is_gone',
@@ -138,6 +139,7 @@
         )
         self._last_heartbeat_at = -math.inf
         self._last_packet_at = -math.inf
+        self._seen_since = math.inf
         self._unanswered_since = math.inf
         self._is_lost = False
         self._cold_until = -math.inf
@@ -181,6 +183,7 @@
                 return HeartbeatChange.REJECTED
             self._candidate = None
             self._past_borns.append(previous.born)
+            self._seen_since = math.inf
         is_changed = previous is None or previous.is_draining != heartbeat.is_draining
         if is_restarted or previous is None:
             self.is_known_since_start = (
@@ -191,6 +194,7 @@
             self.is_gone = False
         self._last_heartbeat = heartbeat
         self._last_heartbeat_at = now
+        self._seen_since = min(self._seen_since, now)
         self._unanswered_since = math.inf
         self._probed_since = math.inf
         self._is_lost = False
@@ -285,6 +289,7 @@
     def record_answer(self, now: float) -> None:
         """Record that the server sent a packet."""
         self._last_packet_at = now
+        self._seen_since = min(self._seen_since, now)
         self._unanswered_since = math.inf
         self._probed_since = math.inf
         self._is_lost = False
@@ -297,6 +302,7 @@
         self._unanswered_since += seconds
         self._started_at += seconds
         self._listening_since += seconds
+        self._seen_since += seconds
         self._probed_since += seconds
 
     def has_been_seen(self) -> bool:
@@ -330,6 +336,10 @@
         """Tell whether the server has sent a packet or a heartbeat since a moment."""
         return max(self._last_packet_at, self._last_heartbeat_at) > moment
 
+    def is_seen_before(self, moment: float) -> bool:
+        """Tell whether the server had been heard of by a moment, and not lost since."""
+        return self._seen_since <= moment
+
     def is_unresponsive(self, now: float) -> bool:
         """Tell whether an answer is outstanding for longer than servers take."""
         return now - self._unanswered_since > ANSWER_TIMEOUT_SECONDS
@@ -343,6 +353,8 @@
         unanswered_since = min(self._unanswered_since, self._probed_since)
         is_unanswered = now - unanswered_since > LOST_AFTER_SECONDS
         self._is_lost = is_unanswered and self.is_overdue(now)
+        if self._is_lost:
+            self._seen_since = math.inf
         return self._is_lost
 
     def is_overdue(self, now: float) -> bool:
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -168,6 +168,44 @@
     assert not build.sent_messages(agent.tick(0.2), relaying.Held)
 
 
+def test_silence_before_the_servers_start_adopts_no_flow():
+    """Guards against flows of another server that a later start seems to confirm."""
+    agent = build.relay_agent.AgentFlows(
+        build.relay_server.Server(build.SERVICE, 1.0),
+        build.Codec(),
+        build.MAX_FLOW_SECONDS,
+        build.announcer(),
+    )
+    agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
+    agent.on_heartbeat(build.heartbeat(), 0.6)
+    emitted = agent.tick(0.625)
+    assert not build.sent_messages(emitted, relaying.Held)
+    (repeated,) = build.of_type(emitted, effects.ToServer)
+    emitted = agent.on_server_packet(
+        build.bounced(build.request(), repeated.token), 0.626
+    )
+    ((denied, _),) = build.sent_messages(emitted, relaying.NotHeld)
+    assert denied.tokens == [5]
+    assert agent.flow_count == 0
+
+
+def test_flow_of_a_living_server_is_adopted_after_the_agent_heard_of_it():
+    """Guards against probes that are never decided."""
+    agent = build.relay_agent.AgentFlows(
+        build.relay_server.Server(build.SERVICE, 1.0),
+        build.Codec(),
+        build.MAX_FLOW_SECONDS,
+        build.announcer(),
+    )
+    agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
+    agent.on_heartbeat(build.heartbeat(sequence=30), 0.6)
+    assert build.of_type(agent.tick(0.625), effects.ToServer)
+    assert not build.of_type(agent.tick(0.65), effects.ToServer)
+    agent.on_server_packet(build.answer(build.flow_key(9)), 0.8)
+    ((held, _),) = build.sent_messages(agent.tick(0.825), relaying.Held)
+    assert held.token == 5
+
+
 def _start_process(process):
     """Return an agent that takes itself for as old as its server, born at 1000."""
     agent = build.relay_agent.AgentFlows(
