Flows that no packet of the server confirmed are not reset when it ends

Cause: what the agent concluded from silence and what the server had said itself were reset alike.

Fix: only flows that a packet of the server confirmed, or that it accepted by its first packet, are reset. The record of another one is dropped, so that its next packet goes back to the entry, which searches for the owner. Ruled out: probing again before the reset, since a server that has ended answers nothing.

Evidence: both cases of test_flow_that_its_server_never_confirmed_is_not_reset failed before.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -610,12 +610,13 @@
     def _discard_all(self, reason: str, now: float) -> list[effects.Effect]:
         """Reset the flows of a server that has ended, and deny those in question.
 
-        A provisional flow may be one of another server.
+        A flow that no packet of the server has confirmed may be one of another server:
+        its next packet goes back to the entry, which searches for the owner.
         """
         emitted: list[effects.Effect] = [
             effects.Reset(key, flow.acknowledged, reason)
             for key, flow in self._flow_by_key.items()
-            if flow.is_open and not flow.is_provisional and flow.ended_at is None
+            if flow.is_open and flow.is_proven and flow.ended_at is None
         ]
         status = self.status(now)
         emitted += [
--- a/src/egretjunction/decisions/relay_flows.py
+++ b/src/egretjunction/decisions/relay_flows.py
@@ -47,6 +47,11 @@
         self.entry: addresses.Address | None = None
         self.token = 0
 
+    @property
+    def is_proven(self) -> bool:
+        """Tell whether a packet of the server has shown that it took the flow."""
+        return self.is_server_confirmed or self.server_sequence is not None
+
 
 class Probe:
     """A packet sent to the backend server to learn whether it holds the flow.
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -455,6 +455,26 @@
     assert agent.flow_count == 0
 
 
+@pytest.mark.parametrize('has_left_heartbeats', [True, False])
+def test_flow_that_its_server_never_confirmed_is_not_reset(has_left_heartbeats):
+    """Guards against the reset of a flow that is open at another server.
+
+    :param has_left_heartbeats: whether the server starts again, or is lost for good.
+    """
+    agent = build.agent(is_known_since_start=False)
+    agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
+    agent.on_server_packet(build.answer(build.flow_key(9)), 0.14)
+    assert build.sent_messages(agent.tick(0.15), relaying.Held)
+    if has_left_heartbeats:
+        emitted = agent.on_heartbeat(build.heartbeat('i-2', born=2000), 3)
+    else:
+        agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, 3)
+        emitted = agent.tick(4.1)
+    resets = build.of_type(emitted, effects.Reset)
+    assert [reset.key for reset in resets] == [build.flow_key(9)]
+    assert agent.flow_count == 0
+
+
 def test_heartbeat_of_an_older_incarnation_is_ignored():
     agent = build.agent()
     agent.on_heartbeat(build.heartbeat('i-2', born=2000), 3)
