Heartbeats have a module of their own

The adapter needs the type alone, not the state of the server that is derived from it; the layout test now allows it only that.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -9,6 +9,7 @@
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_flows
+from egretjunction.decisions import relay_heartbeats
 from egretjunction.decisions import relay_probes
 from egretjunction.decisions import relay_server
 from egretjunction.decisions import relay_work
@@ -155,7 +156,7 @@
 
     def on_heartbeat(
         self,
-        heartbeat: relay_server.Heartbeat,
+        heartbeat: relay_heartbeats.Heartbeat,
         now: float,
         age_seconds: float = math.inf,
     ) -> list[effects.Effect]:
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -5,6 +5,7 @@
 import math
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_heartbeats
 from egretjunction.wire import relaying
 
 ANSWER_TIMEOUT_SECONDS = 0.15  # servers accept or bounce a first packet within 1 ms
@@ -36,52 +37,6 @@
     RESTARTED = 'reborn'
 
 
-class Heartbeat:
-    """One heartbeat of a backend server.
-
-    :param name: name of the server; usually changes with each start.
-    :param service: service that the server provides.
-    :param born: start of this incarnation in milliseconds since the epoch.
-    :param sequence: number of this heartbeat, increasing within an incarnation.
-    :param slots: number of requests that the server runs concurrently.
-    :param address: address at which the server receives packets.
-    :param is_draining: whether the server accepts no new flows.
-    :param cold_ms: remaining milliseconds of slow operation after the start.
-    """
-
-    __slots__ = (
-        'address',
-        'born',
-        'cold_ms',
-        'is_draining',
-        'name',
-        'sequence',
-        'service',
-        'slots',
-    )
-
-    def __init__(
-        self,
-        name: str,
-        service: str,
-        born: int,
-        sequence: int,
-        slots: int,
-        *,
-        address: addresses.Address | None = None,
-        is_draining: bool = False,
-        cold_ms: int = 0,
-    ) -> None:
-        self.name = name
-        self.service = service
-        self.born = born
-        self.sequence = sequence
-        self.slots = slots
-        self.address = address
-        self.is_draining = is_draining
-        self.cold_ms = cold_ms
-
-
 class Server:
     """State of the backend server, derived from its heartbeats and packets.
 
@@ -131,8 +86,8 @@
         self._listening_since = started_at
         self._probed_since = math.inf
         self._heartbeat_seconds = heartbeat_seconds
-        self._last_heartbeat: Heartbeat | None = None
-        self._candidate: Heartbeat | None = None
+        self._last_heartbeat: relay_heartbeats.Heartbeat | None = None
+        self._candidate: relay_heartbeats.Heartbeat | None = None
         self._candidate_at = -math.inf
         self._past_borns: collections.deque[int] = collections.deque(
             maxlen=MAX_PAST_INCARNATIONS
@@ -162,7 +117,10 @@
         return self._last_heartbeat.slots if self._last_heartbeat else DEFAULT_SLOTS
 
     def record_heartbeat(
-        self, heartbeat: Heartbeat, now: float, age_seconds: float = math.inf
+        self,
+        heartbeat: relay_heartbeats.Heartbeat,
+        now: float,
+        age_seconds: float = math.inf,
     ) -> HeartbeatChange:
         """Record a heartbeat unless it is stale or rejected; return what it changed.
 
@@ -203,13 +161,16 @@
             return HeartbeatChange.RESTARTED
         return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
 
-    def _is_named_by(self, heartbeat: Heartbeat) -> bool:
+    def _is_named_by(self, heartbeat: relay_heartbeats.Heartbeat) -> bool:
         """Tell whether a heartbeat is of a server of this service and address."""
         is_elsewhere = self._address is not None and heartbeat.address != self._address
         return heartbeat.service == self.service and not is_elsewhere
 
     def _is_successor(
-        self, heartbeat: Heartbeat, previous: Heartbeat, now: float
+        self,
+        heartbeat: relay_heartbeats.Heartbeat,
+        previous: relay_heartbeats.Heartbeat,
+        now: float,
     ) -> bool:
         """Tell whether a heartbeat is of an incarnation that replaces the known one.
 
@@ -247,7 +208,7 @@
         self.is_known_since_start = False
         return True
 
-    def has_taken(self, heartbeat: Heartbeat) -> bool:
+    def has_taken(self, heartbeat: relay_heartbeats.Heartbeat) -> bool:
         """Tell whether a heartbeat is one of the incarnation that is followed."""
         followed = self._last_heartbeat
         return (
@@ -257,7 +218,7 @@
         )
 
     def _has_started_with_agent(
-        self, heartbeat: Heartbeat, now: float, age_seconds: float
+        self, heartbeat: relay_heartbeats.Heartbeat, now: float, age_seconds: float
     ) -> bool:
         """Tell whether no earlier process can have sent the server a packet.
 
--- a/src/egretjunction/relay/adapter.py
+++ b/src/egretjunction/relay/adapter.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from egretjunction import store
+from egretjunction.decisions import relay_heartbeats
 from egretjunction.decisions import relay_routes
-from egretjunction.decisions import relay_server
 from egretjunction.relay import packets
 
 
@@ -16,7 +16,7 @@
     name: str
 
 
-Announcement = relay_server.Heartbeat | Leave
+Announcement = relay_heartbeats.Heartbeat | Leave
 ReadEvacuation = typing.Callable[[str, bytes | None], str]
 
 
--- a/tests/platform/test_layout.py
+++ b/tests/platform/test_layout.py
@@ -47,7 +47,7 @@
 def test_adapter_imports_only_types_from_decision_modules():
     allowed = {
         'egretjunction.decisions.relay_routes',
-        'egretjunction.decisions.relay_server',
+        'egretjunction.decisions.relay_heartbeats',
     }
     for path in (ROOT / 'platform').glob('*.py'):
         imported = {
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -11,6 +11,7 @@
 from egretjunction.decisions import relay_cold
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_entry
+from egretjunction.decisions import relay_heartbeats
 from egretjunction.decisions import relay_members
 from egretjunction.decisions import relay_routes
 from egretjunction.decisions import relay_server
@@ -129,7 +130,7 @@
 
 def heartbeat(name='i-1', born=1000, sequence=1, slots=2, **fields):
     """Return a heartbeat."""
-    return relay_server.Heartbeat(name, SERVICE, born, sequence, slots, **fields)
+    return relay_heartbeats.Heartbeat(name, SERVICE, born, sequence, slots, **fields)
 
 
 def announcer():
