Another incarnation is followed only after the known one fell silent

Cause: heartbeats of others were taken for a proof that the followed incarnation had ended; two of them half an interval apart, or one with a later start.

Fix: it has ended once it was silent for longer than a running server can be, has left, or bounces a packet of a flow that it had confirmed while another one sends heartbeats. An incarnation known by one heartbeat only is in doubt itself and is corrected without a reset. Until it is decided, nothing is offered if either drains. Flows opened since the new one's first heartbeat stay. Ruled out: a longer distance between the two heartbeats, since the delay of each has no bound; never believing a lower start, since clocks are set back.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -182,11 +182,23 @@
                     address=str(heartbeat.address),
                     born=heartbeat.born,
                     followed=self.server.name,
+                    draining=self.server.is_draining,
                 )
             ]
+        return self._on_server_change(change, heartbeat, now)
+
+    def _on_server_change(
+        self,
+        change: relay_server.HeartbeatChange,
+        heartbeat: relay_heartbeats.Heartbeat,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Apply what a heartbeat of the followed incarnation has changed."""
         emitted: list[effects.Effect] = []
         if change is relay_server.HeartbeatChange.RESTARTED:
-            emitted += self._discard_all('server_restarted', now)
+            emitted += self._discard_all(
+                'server_restarted', now, until=self.server.followed_since
+            )
         self._backlog.configure(self.server.slots, self.server.cold_ms(now), now)
         if change is not relay_server.HeartbeatChange.NOTHING:
             emitted.append(
@@ -195,6 +207,7 @@
                     server=heartbeat.name,
                     born=heartbeat.born,
                     sequence=heartbeat.sequence,
+                    change=change.value,
                     draining=heartbeat.is_draining,
                     cold_ms=heartbeat.cold_ms,
                     known_since_start=self.server.is_known_since_start,
@@ -229,7 +242,7 @@
         self.server.discount_pause(pause_seconds)
         self._probes.discount_pause(pause_seconds)
         is_lost = self.server.check_lost(now)
-        emitted += self._probes.repeat_early(self._is_in_question, now)
+        emitted += self._probes.repeat_early(self._flow_by_key, now)
         emitted += [
             effect
             for probe in self._probes.pop_decided(now)
@@ -508,11 +521,6 @@
         pong = relaying.Pong(self._service_tag, self.status(now))
         return [*figure, effects.Send(entry, pong)]
 
-    def _is_in_question(self, key: bytes) -> bool:
-        """Tell whether the server was probed for a flow and has not answered."""
-        flow = self._flow_by_key.get(key)
-        return flow is not None and flow.is_provisional
-
     def _on_probe_expired(
         self, probe: relay_flows.Probe, now: float
     ) -> list[effects.Effect]:
@@ -595,7 +603,12 @@
             return []
         self._remove_flow(packet.key)
         if flow.is_server_confirmed or flow.entry is None:
-            return [effects.Reset(packet.key, packet.acknowledged, 'server_lost_flow')]
+            reset = effects.Reset(packet.key, packet.acknowledged, 'server_lost_flow')
+            successor = self.server.record_lost_flow(now)
+            if successor is None:
+                return [reset]
+            restarted = relay_server.HeartbeatChange.RESTARTED
+            return [reset, *self._on_server_change(restarted, successor, now)]
         raw = self._codec.restore_bounced(packet.raw)
         return [effects.Send(flow.entry, relaying.Returned(raw, self.status(now)))]
 
@@ -608,25 +621,39 @@
         self._flow_by_key.pop(key, None)
         self._requests.remove(key)
 
-    def _discard_all(self, reason: str, now: float) -> list[effects.Effect]:
+    def _discard_all(
+        self, reason: str, now: float, *, until: float = math.inf
+    ) -> list[effects.Effect]:
         """Reset the flows of a server that has ended, and deny those in question.
 
         A flow that no packet of the server has confirmed may be one of another server:
         its next packet goes back to the entry, which searches for the owner.
+
+        :param reason: why the flows are reset.
+        :param now: the time in seconds.
+        :param until: time from which on flows were taken by the server's successor.
         """
+        discarded_by_key = {
+            key: flow
+            for key, flow in self._flow_by_key.items()
+            if flow.opened_at < until
+        }
         emitted: list[effects.Effect] = [
             effects.Reset(key, flow.acknowledged, reason)
-            for key, flow in self._flow_by_key.items()
+            for key, flow in discarded_by_key.items()
             if flow.is_open and flow.is_proven and flow.ended_at is None
         ]
         status = self.status(now)
         emitted += [
             _denial_message(probe, status)
-            for probe in self._probes.pop_all()
+            for probe in self._probes.pop_sent_before(until)
             if not probe.is_first
         ]
-        self._flow_by_key.clear()
-        self._requests.clear()
+        if len(discarded_by_key) == len(self._flow_by_key):
+            self._flow_by_key.clear()
+            self._requests.clear()
+        for key in discarded_by_key:
+            self._remove_flow(key)
         return emitted
 
     def _remove_expired(self, now: float) -> None:
--- a/src/egretjunction/decisions/relay_probes.py
+++ b/src/egretjunction/decisions/relay_probes.py
@@ -63,11 +63,14 @@
         ]
         return [self._probe_by_token.pop(token) for token in tokens]
 
-    def pop_all(self) -> list[relay_flows.Probe]:
-        """Remove and return all probes."""
-        removed = list(self._probe_by_token.values())
-        self._probe_by_token.clear()
-        return removed
+    def pop_sent_before(self, moment: float) -> list[relay_flows.Probe]:
+        """Remove and return the probes that were sent before a moment."""
+        tokens = [
+            token
+            for token, probe in self._probe_by_token.items()
+            if probe.sent_at < moment
+        ]
+        return [self._probe_by_token.pop(token) for token in tokens]
 
     def pop_decided(self, now: float) -> list[relay_flows.Probe]:
         """Remove and return the probes whose silence need not be waited for longer."""
@@ -79,22 +82,24 @@
         return [self._probe_by_token.pop(token) for token in tokens]
 
     def repeat_early(
-        self, is_in_question: typing.Callable[[bytes], bool], now: float
+        self, flow_by_key: typing.Mapping[bytes, relay_flows.Flow], now: float
     ) -> list[effects.ToServer]:
         """Send the probes again that may have reached no server.
 
         The silence that follows a probe says something only about a server that had
         been heard of before it: one that starts later never received the packet.
 
-        :param is_in_question: tells by its key whether a flow may be the server's.
+        :param flow_by_key: records of the agent; a probe whose flow is no longer in
+            question is not sent again.
         :param now: the time in seconds.
         """
         if not self._server.is_seen_before(now):
             return []
         to_server_by_key: dict[bytes, effects.ToServer] = {}
         for token, probe in self._probe_by_token.items():
-            is_early = not self._server.is_seen_before(probe.sent_at)
-            if is_early and is_in_question(probe.key):
+            flow = flow_by_key.get(probe.key)
+            is_in_question = flow is not None and flow.is_provisional
+            if is_in_question and not self._server.is_seen_before(probe.sent_at):
                 probe.restart(now)
                 repeated = effects.ToServer(probe.packet, token)
                 to_server_by_key.setdefault(probe.key, repeated)
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -1,11 +1,11 @@
 """An agent's view of the state of its backend server."""
 
-import collections
 import enum
 import math
 
 from egretjunction import addresses
 from egretjunction.decisions import relay_heartbeats
+from egretjunction.decisions import relay_succession
 from egretjunction.wire import relaying
 
 ANSWER_TIMEOUT_SECONDS = 0.15  # servers accept or bounce a first packet within 1 ms
@@ -15,9 +15,6 @@
 ABSENT_HEARTBEATS = 1.25
 # A supervisor waits at least this long before it starts an ended process again.
 MIN_RESTART_SECONDS = 0.1
-# Of the interval; heartbeats that a partition held up arrive closer to each other.
-REPEATED_HEARTBEATS = 0.5
-MAX_PAST_INCARNATIONS = 16
 MILLISECONDS_PER_SECOND = 1_000
 DEFAULT_SLOTS = 2
 
@@ -26,13 +23,15 @@
     """What a heartbeat changed in the known state of the server.
 
     A stale heartbeat is an older one of the same incarnation. A rejected one is of
-    another service or address, or of an incarnation that is not the newest one, as far
-    as known.
+    another service or address, or of an incarnation that does not replace the followed
+    one. A correcting one shows that the only heartbeat so far was held up, and of an
+    incarnation that had ended.
     """
 
     NOTHING = 'nothing'
     STALE = 'stale'
     REJECTED = 'rejected'
+    CORRECTED = 'corrected'
     CHANGED = 'changed'
     RESTARTED = 'reborn'
 
@@ -54,8 +53,6 @@
 
     __slots__ = (
         '_address',
-        '_candidate',
-        '_candidate_at',
         '_cold_until',
         '_heartbeat_seconds',
         '_is_lost',
@@ -63,10 +60,10 @@
         '_last_heartbeat_at',
         '_last_packet_at',
         '_listening_since',
-        '_past_borns',
         '_probed_since',
         '_seen_since',
         '_started_at',
+        '_succession',
         '_unanswered_since',
         'is_gone',
         'is_known_since_start',
@@ -87,11 +84,7 @@
         self._probed_since = math.inf
         self._heartbeat_seconds = heartbeat_seconds
         self._last_heartbeat: relay_heartbeats.Heartbeat | None = None
-        self._candidate: relay_heartbeats.Heartbeat | None = None
-        self._candidate_at = -math.inf
-        self._past_borns: collections.deque[int] = collections.deque(
-            maxlen=MAX_PAST_INCARNATIONS
-        )
+        self._succession = relay_succession.Succession(heartbeat_seconds)
         self._last_heartbeat_at = -math.inf
         self._last_packet_at = -math.inf
         self._seen_since = math.inf
@@ -111,6 +104,24 @@
         """Return the server's start time, 0 before its first heartbeat."""
         return self._last_heartbeat.born if self._last_heartbeat else 0
 
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether the server accepts no new flows, as far as known.
+
+        A heartbeat that may be of the living server counts as well, since a flow that a
+        draining server takes is worse than one that waits.
+        """
+        candidate = self._succession.candidate
+        return any(
+            heartbeat is not None and heartbeat.is_draining
+            for heartbeat in (self._last_heartbeat, candidate)
+        )
+
+    @property
+    def followed_since(self) -> float:
+        """Return when the first heartbeat of the followed incarnation arrived."""
+        return self._succession.followed_since
+
     @property
     def slots(self) -> int:
         """Return how many requests the server runs concurrently."""
@@ -131,68 +142,62 @@
         if not self._is_named_by(heartbeat):
             return HeartbeatChange.REJECTED
         previous = self._last_heartbeat
-        is_restarted = previous is not None and heartbeat.born != previous.born
-        if previous is not None and not is_restarted:
-            self._candidate = None
-            if heartbeat.sequence <= previous.sequence:
-                return HeartbeatChange.STALE
-        if previous is not None and is_restarted:
-            if not self._is_successor(heartbeat, previous, now):
-                return HeartbeatChange.REJECTED
-            self._candidate = None
-            self._past_borns.append(previous.born)
-            self._seen_since = math.inf
-        is_changed = previous is None or previous.is_draining != heartbeat.is_draining
-        if is_restarted or previous is None:
+        if previous is None:
             self.is_known_since_start = (
-                is_restarted
-                or heartbeat.sequence <= 1
+                heartbeat.sequence <= 1
                 or self._has_started_with_agent(heartbeat, now, age_seconds)
             )
-            self.is_gone = False
+            self._succession.record_followed(now)
+            self._follow(heartbeat, now)
+            return HeartbeatChange.CHANGED
+        if heartbeat.born != previous.born:
+            return self._record_other(heartbeat, previous, now)
+        if heartbeat.sequence <= previous.sequence:
+            return HeartbeatChange.STALE
+        was_draining = self.is_draining
+        self._succession.record_followed(now)
+        self._follow(heartbeat, now)
+        is_changed = self.is_draining != was_draining
+        return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
+
+    def _record_other(
+        self,
+        heartbeat: relay_heartbeats.Heartbeat,
+        previous: relay_heartbeats.Heartbeat,
+        now: float,
+    ) -> HeartbeatChange:
+        """Record a heartbeat of another incarnation than the followed one."""
+        is_successor = self._succession.is_successor(
+            heartbeat, previous.born, now, has_left=self.is_gone
+        )
+        if not is_successor:
+            return HeartbeatChange.REJECTED
+        is_doubtful = self._succession.is_doubtful(now) and not self.is_gone
+        self._succession.replace(previous.born, now)
+        self.is_known_since_start = True
+        self.is_gone = False
+        if is_doubtful:
+            self._follow(heartbeat, now)
+            return HeartbeatChange.CORRECTED
+        self._seen_since = math.inf
+        self._follow(heartbeat, now)
+        return HeartbeatChange.RESTARTED
+
+    def _follow(self, heartbeat: relay_heartbeats.Heartbeat, now: float) -> None:
+        """Take over what a heartbeat of the followed incarnation says."""
         self._last_heartbeat = heartbeat
         self._last_heartbeat_at = now
         self._seen_since = min(self._seen_since, now)
         self._unanswered_since = math.inf
         self._probed_since = math.inf
         self._is_lost = False
-        self._cold_until = now + heartbeat.cold_ms / 1000
-        if is_restarted:
-            return HeartbeatChange.RESTARTED
-        return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
+        self._cold_until = now + heartbeat.cold_ms / MILLISECONDS_PER_SECOND
 
     def _is_named_by(self, heartbeat: relay_heartbeats.Heartbeat) -> bool:
         """Tell whether a heartbeat is of a server of this service and address."""
         is_elsewhere = self._address is not None and heartbeat.address != self._address
         return heartbeat.service == self.service and not is_elsewhere
 
-    def _is_successor(
-        self,
-        heartbeat: relay_heartbeats.Heartbeat,
-        previous: relay_heartbeats.Heartbeat,
-        now: float,
-    ) -> bool:
-        """Tell whether a heartbeat is of an incarnation that replaces the known one.
-
-        A lower start time is that of an older incarnation whose heartbeat was held up,
-        or that of a newer one after the clock was set back. Only a living server goes
-        on sending heartbeats, while the known one sends none.
-        """
-        if heartbeat.born in self._past_borns:
-            return False
-        if heartbeat.born > previous.born:
-            return True
-        candidate = self._candidate
-        if candidate is None or candidate.born != heartbeat.born:
-            self._candidate = heartbeat
-            self._candidate_at = now
-            return False
-        waited_seconds = now - self._candidate_at
-        is_repeated = heartbeat.sequence > candidate.sequence
-        return is_repeated and (
-            waited_seconds >= REPEATED_HEARTBEATS * self._heartbeat_seconds
-        )
-
     def record_listening(self, now: float) -> None:
         """Record that heartbeats can be received from now on."""
         self._listening_since = now
@@ -255,11 +260,27 @@
         self._probed_since = math.inf
         self._is_lost = False
 
+    def record_lost_flow(self, now: float) -> relay_heartbeats.Heartbeat | None:
+        """Record that the server bounced a packet of a flow that it had confirmed.
+
+        A server loses its flows when it starts again. If a newer incarnation has sent a
+        heartbeat meanwhile, it is followed from now on.
+
+        :param now: the time in seconds.
+        :return: that heartbeat, None if no other incarnation is followed.
+        """
+        self._succession.record_lost_flow()
+        candidate, previous = self._succession.candidate, self._last_heartbeat
+        if candidate is None or previous is None:
+            return None
+        change = self._record_other(candidate, previous, now)
+        return candidate if change is HeartbeatChange.RESTARTED else None
+
     def discount_pause(self, seconds: float) -> None:
         """Exclude a pause of this process from the silence of the server."""
         self._last_heartbeat_at += seconds
         self._last_packet_at += seconds
-        self._candidate_at += seconds
+        self._succession.discount_pause(seconds)
         self._unanswered_since += seconds
         self._started_at += seconds
         self._listening_since += seconds
@@ -339,7 +360,7 @@
             return relaying.State.GONE
         if self._last_heartbeat is None:
             return relaying.State.STARTING
-        if self._last_heartbeat.is_draining:
+        if self.is_draining:
             return relaying.State.DRAINING
         if self.is_unresponsive(now):
             return relaying.State.UNFIT
--- /dev/null
+++ b/tests/decisions/test_relay_succession.py
@@ -0,0 +1,116 @@
+"""Which incarnation of its backend server an agent follows."""
+
+import pytest
+
+from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_server
+from egretjunction.wire import relaying
+from tests import relay_builders as build
+
+INTERVAL_SECONDS = 1.0
+CHANGE = relay_server.HeartbeatChange
+
+
+def _living_server(**fields):
+    """Return a server, started at 5000, that has sent heartbeats until 2.0."""
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS)
+    for sequence in range(3):
+        living = build.heartbeat('i-1', 5000, sequence + 1, **fields)
+        server.record_heartbeat(living, sequence)
+    return server
+
+
+@pytest.mark.parametrize('born', [4000, 6000])
+@pytest.mark.parametrize('moments', [(2.1, 2.85), (2.1, 2.6, 2.95)])
+def test_held_up_heartbeats_between_two_of_the_living_server_count_for_nothing(
+    born, moments
+):
+    """Guards against a drain that is undone, and flows reset, by a dead server.
+
+    The dead one's start is later where its clock was ahead then.
+    """
+    server = _living_server(is_draining=True)
+    for sequence, moment in enumerate(moments, 8):
+        late = build.heartbeat('i-0', born, sequence)
+        assert server.record_heartbeat(late, moment) is CHANGE.REJECTED
+        assert not server.has_taken(late)
+    living = build.heartbeat('i-1', 5000, 4, is_draining=True)
+    assert server.record_heartbeat(living, 3) is CHANGE.NOTHING
+    assert server.state(3) is relaying.State.DRAINING
+
+
+@pytest.mark.parametrize('born', [4000, 6000])
+def test_incarnation_that_goes_on_while_the_known_one_is_silent_is_followed(born):
+    """Guards against a server whose heartbeats are rejected for good."""
+    server = _living_server()
+    first = build.heartbeat('i-2', born, 1)
+    assert server.record_heartbeat(first, 2.5) is CHANGE.REJECTED
+    again = build.heartbeat('i-2', born, 2)
+    assert server.record_heartbeat(again, 3.5) is CHANGE.RESTARTED
+    assert server.has_taken(again)
+
+
+def test_single_heartbeat_of_a_later_start_does_not_shut_out_the_living_server():
+    """Guards against a server whose heartbeats are rejected for good.
+
+    It has sent one heartbeat when one of a dead incarnation, whose clock was ahead,
+    arrives.
+    """
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS)
+    server.record_heartbeat(build.heartbeat('i-1', 5000, 1), 0)
+    server.record_heartbeat(build.heartbeat('i-0', 6000, 9), 0.5)
+    for moment in (1, 2):
+        living = build.heartbeat('i-1', 5000, moment + 1, is_draining=True)
+        server.record_heartbeat(living, moment)
+        assert server.state(moment) is relaying.State.DRAINING
+    assert server.name == 'i-1'
+
+
+def test_newer_incarnation_is_followed_at_once_after_the_known_one_left():
+    server = _living_server()
+    server.record_leave('i-1')
+    successor = build.heartbeat('i-2', 6000, 1)
+    assert server.record_heartbeat(successor, 2.2) is CHANGE.RESTARTED
+
+
+def test_newer_incarnation_is_followed_once_the_server_bounces_a_confirmed_flow():
+    """Guards against requests that wait for a reset of a server that has crashed."""
+    agent = build.agent()
+    agent.on_heartbeat(build.heartbeat(sequence=2), 1)
+    for number in (1, 2):
+        key = build.flow_key(number)
+        agent.on_message(build.offer(build.first_packet(key)), build.ENTRY, 1.1)
+        agent.on_server_packet(build.opening(key), 1.1)
+        agent.on_message(relaying.Deliver(build.request(key).raw), build.ENTRY, 1.2)
+        agent.on_server_packet(build.answer(key), 1.2)
+    successor = build.heartbeat('i-2', 2000, 1)
+    emitted = agent.on_heartbeat(successor, 1.5)
+    assert not build.of_type(emitted, effects.Reset)
+    bounced = build.bounced(build.request(build.flow_key(1)), 0)
+    emitted = agent.on_server_packet(bounced, 1.6)
+    resets = {reset.key for reset in build.of_type(emitted, effects.Reset)}
+    assert resets == {build.flow_key(1), build.flow_key(2)}
+    assert agent.server.name == 'i-2'
+
+
+def test_nothing_is_offered_while_a_draining_incarnation_may_have_replaced_it():
+    """Guards against new flows at a server that crashed and drains at its next start."""
+    server = _living_server()
+    draining = build.heartbeat('i-2', 6000, 1, is_draining=True)
+    assert server.record_heartbeat(draining, 2.5) is CHANGE.REJECTED
+    assert server.state(2.5) is relaying.State.DRAINING
+    server.record_heartbeat(build.heartbeat('i-1', 5000, 4), 3)
+    assert server.state(3) is relaying.State.READY
+
+
+def test_living_server_displaces_a_held_up_first_heartbeat_without_a_reset():
+    """Guards against the reset of a living server's flows after its agent's restart.
+
+    The first heartbeat that the restarted agent gets is one of a dead incarnation.
+    """
+    agent = build.agent(is_known_since_start=False)
+    agent.on_server_packet(build.answer(), 0.1)
+    emitted = agent.on_heartbeat(build.heartbeat('i-2', 2000, 9), 0.5)
+    assert not build.of_type(emitted, effects.Reset)
+    assert agent.flow_count == 1
+    assert agent.server.name == 'i-2'
