A successor is known since its start only if it is younger than the agent

Cause: whenever one incarnation followed another, the agent took itself for having seen the start of the new one, although the first one may have ended long before the agent's process began.

Fix: relay_ages.py tells from the number of the first heartbeat, the time for which the process has listened and, after a power loss, the age whether the incarnation is younger than the process. A bounce of a flow that the server had confirmed to this process proves it as well.

--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -4,6 +4,7 @@
 import math
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_ages
 from egretjunction.decisions import relay_heartbeats
 from egretjunction.decisions import relay_succession
 from egretjunction.wire import relaying
@@ -13,8 +14,6 @@
 OVERDUE_HEARTBEATS = 2.5  # intervals: two lost heartbeats and half an interval
 # Heartbeats that a running server cannot miss in a row while its machine is up.
 ABSENT_HEARTBEATS = 1.25
-# A supervisor waits at least this long before it starts an ended process again.
-MIN_RESTART_SECONDS = 0.1
 MILLISECONDS_PER_SECOND = 1_000
 DEFAULT_SLOTS = 2
 
@@ -65,6 +64,7 @@
         '_started_at',
         '_succession',
         '_unanswered_since',
+        '_younger_born',
         'is_gone',
         'is_known_since_start',
         'service',
@@ -93,6 +93,7 @@
         self._cold_until = -math.inf
         self.is_gone = False
         self.is_known_since_start = False
+        self._younger_born: int | None = None
 
     @property
     def name(self) -> str:
@@ -142,15 +143,21 @@
         if not self._is_named_by(heartbeat):
             return HeartbeatChange.REJECTED
         previous = self._last_heartbeat
+        is_other = previous is None or heartbeat.born != previous.born
+        if is_other and relay_ages.is_younger_than_agent(
+            heartbeat,
+            age_seconds,
+            now - self._started_at,
+            now - self._listening_since,
+            self._heartbeat_seconds,
+        ):
+            self._younger_born = heartbeat.born
         if previous is None:
-            self.is_known_since_start = (
-                heartbeat.sequence <= 1
-                or self._has_started_with_agent(heartbeat, now, age_seconds)
-            )
+            self.is_known_since_start = heartbeat.born == self._younger_born
             self._succession.record_followed(now)
             self._follow(heartbeat, now)
             return HeartbeatChange.CHANGED
-        if heartbeat.born != previous.born:
+        if is_other:
             return self._record_other(heartbeat, previous, now)
         if heartbeat.sequence <= previous.sequence:
             return HeartbeatChange.STALE
@@ -174,7 +181,7 @@
             return HeartbeatChange.REJECTED
         is_doubtful = self._succession.is_doubtful(now) and not self.is_gone
         self._succession.replace(previous.born, now)
-        self.is_known_since_start = True
+        self.is_known_since_start = heartbeat.born == self._younger_born
         self.is_gone = False
         if is_doubtful:
             self._follow(heartbeat, now)
@@ -222,21 +229,6 @@
             and heartbeat.born == followed.born
         )
 
-    def _has_started_with_agent(
-        self, heartbeat: relay_heartbeats.Heartbeat, now: float, age_seconds: float
-    ) -> bool:
-        """Tell whether no earlier process can have sent the server a packet.
-
-        After a power loss, server and agent start together, and the agent misses the
-        server's first heartbeats. An earlier agent process would have had to end, and
-        this one to be started, within the server's life. The time of day may have been
-        stepped; a server that is no longer cold is therefore never taken for a new one,
-        and entries that heard of it from an earlier process say so.
-        """
-        if not heartbeat.cold_ms:
-            return False
-        return 0 <= age_seconds <= now - self._started_at + MIN_RESTART_SECONDS
-
     def record_leave(self, name: str) -> bool:
         """Record that a server has ended; return False if it is not the current one."""
         if self._last_heartbeat is None or name != self._last_heartbeat.name:
@@ -264,7 +256,7 @@
         """Record that the server bounced a packet of a flow that it had confirmed.
 
         A server loses its flows when it starts again. If a newer incarnation has sent a
-        heartbeat meanwhile, it is followed from now on.
+        heartbeat meanwhile, it is followed from now on, and known since its start.
 
         :param now: the time in seconds.
         :return: that heartbeat, None if no other incarnation is followed.
@@ -273,6 +265,7 @@
         candidate, previous = self._succession.candidate, self._last_heartbeat
         if candidate is None or previous is None:
             return None
+        self._younger_born = candidate.born
         change = self._record_other(candidate, previous, now)
         return candidate if change is HeartbeatChange.RESTARTED else None
 
--- a/tests/decisions/test_relay_succession.py
+++ b/tests/decisions/test_relay_succession.py
@@ -93,6 +93,29 @@
     assert agent.server.name == 'i-2'
 
 
+@pytest.mark.parametrize(
+    ('sequence', 'uptime_seconds', 'is_known'),
+    [
+        (1, 0.5, True),
+        (2, 3.9, False),
+        (2, 4.1, True),
+        (30, 5.0, False),
+    ],
+)
+def test_successor_is_known_since_its_start_only_if_it_is_younger_than_the_agent(
+    sequence, uptime_seconds, is_known
+):
+    """Guards against denied flows of a living server after its agent's restart.
+
+    The restarted agent gets a held-up heartbeat of a dead incarnation first.
+    """
+    agent = build.agent(is_known_since_start=False)
+    successor = build.heartbeat('i-2', 2000, sequence)
+    agent.on_heartbeat(successor, uptime_seconds)
+    assert agent.server.name == 'i-2'
+    assert agent.status(uptime_seconds).knows_all_flows == is_known
+
+
 def test_nothing_is_offered_while_a_draining_incarnation_may_have_replaced_it():
     """Guards against new flows at a server that crashed and drains at its next start."""
     server = _living_server()
