Entries remember an agent's earlier incarnations beyond the last one

Cause: an entry kept the last reported incarnation alone.

Fix: it keeps, for the last four, which process reported each first. Ruled out: keeping all, which grows with each restart of a server.

--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -28,6 +28,7 @@
 MIN_NEAR_MEMBERS = 4  # of each service; pinged as often as those of the own domain
 OTHER_DOMAIN_PENALTY = 0.8  # share of its slots by which a near server may be fuller
 COLD_PENALTY = 0.5  # share of slots; requests of a cold server take 1.6 times as long
+MAX_REPORTED_SERVERS = 4  # incarnations that an entry remembers of each agent
 REQUESTS_PER_FLOW = 0.02  # average number of active requests of an open flow
 
 
@@ -53,8 +54,7 @@
 
     __slots__ = (
         '_absence',
-        '_reported_born',
-        '_reporting_process',
+        '_process_by_born',
         'address',
         'domain',
         'is_domain_evacuated',
@@ -93,8 +93,7 @@
         self.used_at = -math.inf
         self.offered_flows = 0
         self.older_server_born = 0
-        self._reported_born = 0
-        self._reporting_process = 0
+        self._process_by_born: dict[int, int] = {}
         self.status = relaying.Status(relaying.State.STARTING, 0, 0, 1, 0)
 
     def record_request(self, now: float) -> None:
@@ -127,13 +126,21 @@
         self.offered_flows = 0
         self.last_status_at = now
         self.unanswered_since = math.inf
-        if not status.server_born:
-            return
-        is_same_server = status.server_born == self._reported_born
-        if is_same_server and status.process != self._reporting_process:
-            self.older_server_born = status.server_born
-        self._reported_born = status.server_born
-        self._reporting_process = status.process
+        if status.server_born:
+            self._record_reported_server(status.server_born, status.process)
+
+    def _record_reported_server(self, born: int, process: int) -> None:
+        """Record that a process of the agent follows an incarnation of its server.
+
+        Other incarnations may be reported in between: heartbeats of ended ones may have
+        been held up.
+        """
+        first_process = self._process_by_born.pop(born, process)
+        self._process_by_born[born] = first_process
+        if first_process != process:
+            self.older_server_born = born
+        if len(self._process_by_born) > MAX_REPORTED_SERVERS:
+            self._process_by_born.pop(next(iter(self._process_by_born)))
 
     def silent_seconds(self, now: float) -> float:
         """Return how long an answer of the agent has been outstanding."""
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -242,6 +242,25 @@
     assert not restarted.status(0.2).knows_all_flows
 
 
+def test_entries_know_an_older_server_although_another_was_reported_meanwhile():
+    """Guards against denied flows after a heartbeat of a dead server that was late."""
+    entry = build.entry('m-1')
+    _exchange_ping(entry, _start_process(1), 0.2)
+    restarted = build.relay_agent.AgentFlows(
+        build.relay_server.Server(build.SERVICE, 1.0),
+        build.Codec(),
+        build.MAX_FLOW_SECONDS,
+        build.announcer(),
+        process=2,
+    )
+    restarted.on_heartbeat(build.heartbeat('i-0', born=500, sequence=9), 0.1)
+    _exchange_ping(entry, restarted, 0.1)
+    restarted.on_heartbeat(build.heartbeat(sequence=1), 0.3)
+    assert restarted.status(0.3).knows_all_flows
+    _exchange_ping(entry, restarted, 0.3)
+    assert not restarted.status(0.3).knows_all_flows
+
+
 def test_agent_that_followed_its_server_from_the_start_remains_certain():
     entry = build.entry('m-1')
     agent = _start_process(1)
