The listing of an agent tells a power loss from its restart after a clock step

The restarted agent took itself for as old as its server and denied the flows.

Cause: the age by the time of day was the only evidence that tells a power loss, where server and agent start together, from a restart of the agent. Entries that would know better had ended too.

Fix: the agent's listing names the start of the server that it follows, and the time of day counts only after the listing of an earlier process was read and names another one.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -197,7 +197,7 @@
         emitted: list[effects.Effect] = []
         if change is relay_server.HeartbeatChange.RESTARTED:
             emitted += self._discard_all(
-                'server_restarted', now, until=self.server.followed_since
+                'server_restarted', now, until=self.server.succession.followed_since
             )
         self._backlog.configure(self.server.slots, self.server.cold_ms(now), now)
         if change is not relay_server.HeartbeatChange.NOTHING:
--- a/src/egretjunction/decisions/relay_ages.py
+++ b/src/egretjunction/decisions/relay_ages.py
@@ -12,40 +12,96 @@
 MIN_RESTART_SECONDS = 0.1
 
 
-def is_younger_than_agent(
-    heartbeat: relay_heartbeats.Heartbeat,
-    age_seconds: float,
-    uptime_seconds: float,
-    listening_seconds: float,
-    heartbeat_seconds: float,
-) -> bool:
-    """Tell whether no earlier process of the agent has taken a flow of the server.
-
-    :param heartbeat: the first heartbeat that this process gets of the incarnation.
-    :param age_seconds: time since the server's start by the time of day.
-    :param uptime_seconds: time since the start of this process.
-    :param listening_seconds: time since this process can receive heartbeats.
+class Ages:
+    """Which incarnations started after this process, as far as known.
+
+    ``unsettled_born`` is the start time of an incarnation for which the agent's listing
+    is needed to tell, 0 if there is none. ``listening_since`` is the time since which
+    this process can receive heartbeats.
+
     :param heartbeat_seconds: interval between heartbeats.
+    :param started_at: start of this process, in the clock of all times passed in.
+    :param has_listing: whether ``settle`` will tell which incarnation an earlier
+        process has listed; until then the time of day proves nothing.
     """
-    if heartbeat.sequence <= 1:
-        return True
-    longest_seconds = heartbeat.sequence * (heartbeat_seconds + ANSWER_SECONDS)
-    if longest_seconds <= listening_seconds:
-        return True
-    return _has_started_with_agent(heartbeat, age_seconds, uptime_seconds)
-
-
-def _has_started_with_agent(
-    heartbeat: relay_heartbeats.Heartbeat, age_seconds: float, uptime_seconds: float
-) -> bool:
-    """Tell whether no earlier process can have sent the server a packet.
-
-    After a power loss, server and agent start together, and the agent misses the
-    server's first heartbeats. An earlier agent process would have had to end, and
-    this one to be started, within the server's life. The time of day may have been
-    stepped; a server that is no longer cold is therefore never taken for a new one,
-    and entries that heard of it from an earlier process say so.
-    """
-    if not heartbeat.cold_ms:
-        return False
-    return 0 <= age_seconds <= uptime_seconds + MIN_RESTART_SECONDS
+
+    __slots__ = (
+        '_has_listing',
+        '_heartbeat_seconds',
+        '_started_at',
+        '_younger_born',
+        'listening_since',
+        'unsettled_born',
+    )
+
+    def __init__(
+        self, heartbeat_seconds: float, started_at: float, *, has_listing: bool
+    ) -> None:
+        self._heartbeat_seconds = heartbeat_seconds
+        self._started_at = started_at
+        self._has_listing = has_listing
+        self._younger_born: int | None = None
+        self.listening_since = started_at
+        self.unsettled_born = 0
+
+    def is_younger(self, born: int) -> bool:
+        """Tell whether an incarnation is known to have started after this process."""
+        return born == self._younger_born
+
+    def record_younger(self, born: int) -> None:
+        """Record that an incarnation has started after this process."""
+        self._younger_born = born
+
+    def discount_pause(self, seconds: float) -> None:
+        """Exclude a pause of this process from its life."""
+        self._started_at += seconds
+        self.listening_since += seconds
+
+    def estimate(
+        self, heartbeat: relay_heartbeats.Heartbeat, now: float, age_seconds: float
+    ) -> None:
+        """Estimate the age of an incarnation from its first heartbeat.
+
+        :param heartbeat: the first heartbeat that this process gets of it.
+        :param now: the time in seconds.
+        :param age_seconds: time since the server's start by the time of day.
+        """
+        longest_seconds = heartbeat.sequence * (
+            self._heartbeat_seconds + ANSWER_SECONDS
+        )
+        is_younger = (
+            heartbeat.sequence <= 1 or longest_seconds <= now - self.listening_since
+        )
+        seems_younger = self._has_started_with_agent(heartbeat, now, age_seconds)
+        if is_younger or (seems_younger and not self._has_listing):
+            self._younger_born = heartbeat.born
+        elif seems_younger:
+            self.unsettled_born = heartbeat.born
+
+    def settle(self, listed_born: int) -> None:
+        """Record which incarnation the agent's listing named at this process's start.
+
+        The time of day alone does not tell a power loss from a restart of the agent
+        after the clock was set back. An earlier process has listed what it followed.
+
+        :param listed_born: start time of that incarnation, 0 if there is none.
+        """
+        if self.unsettled_born and self.unsettled_born != listed_born:
+            self._younger_born = self.unsettled_born
+        self.unsettled_born = 0
+
+    def _has_started_with_agent(
+        self, heartbeat: relay_heartbeats.Heartbeat, now: float, age_seconds: float
+    ) -> bool:
+        """Tell whether no earlier process seems to have sent the server a packet.
+
+        After a power loss, server and agent start together, and the agent misses the
+        server's first heartbeats. An earlier agent process would have had to end, and
+        this one to be started, within the server's life. The time of day may have been
+        stepped; a server that is no longer cold is therefore never taken for a new one,
+        entries that heard of it from an earlier process say so, and so does the listing
+        of the agent.
+        """
+        if not heartbeat.cold_ms:
+            return False
+        return 0 <= age_seconds <= now - self._started_at + MIN_RESTART_SECONDS
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -40,6 +40,8 @@
 
     ``is_known_since_start`` tells whether this process has followed the server since
     the server's start, and therefore has a record of every flow of the server.
+    ``succession`` tells which incarnation is followed, ``ages`` which ones started
+    after this process.
 
     :param service: service that the server must provide; heartbeats of another
         service are ignored.
@@ -48,6 +50,8 @@
         sockets are open from ``record_listening`` on.
     :param address: address at which the server receives packets; heartbeats of another
         address are ignored. None accepts any.
+    :param has_listing: whether ``settle_start`` will tell which incarnation an earlier
+        process has listed; until then the time of day proves nothing.
     """
 
     __slots__ = (
@@ -58,16 +62,14 @@
         '_last_heartbeat',
         '_last_heartbeat_at',
         '_last_packet_at',
-        '_listening_since',
         '_probed_since',
         '_seen_since',
-        '_started_at',
-        '_succession',
         '_unanswered_since',
-        '_younger_born',
+        'ages',
         'is_gone',
         'is_known_since_start',
         'service',
+        'succession',
     )
 
     def __init__(
@@ -76,15 +78,18 @@
         heartbeat_seconds: float,
         started_at: float = 0,
         address: addresses.Address | None = None,
+        *,
+        has_listing: bool = False,
     ) -> None:
         self.service = service
         self._address = address
-        self._started_at = started_at
-        self._listening_since = started_at
+        self.ages = relay_ages.Ages(
+            heartbeat_seconds, started_at, has_listing=has_listing
+        )
         self._probed_since = math.inf
         self._heartbeat_seconds = heartbeat_seconds
         self._last_heartbeat: relay_heartbeats.Heartbeat | None = None
-        self._succession = relay_succession.Succession(heartbeat_seconds)
+        self.succession = relay_succession.Succession(heartbeat_seconds)
         self._last_heartbeat_at = -math.inf
         self._last_packet_at = -math.inf
         self._seen_since = math.inf
@@ -93,7 +98,6 @@
         self._cold_until = -math.inf
         self.is_gone = False
         self.is_known_since_start = False
-        self._younger_born: int | None = None
 
     @property
     def name(self) -> str:
@@ -112,17 +116,12 @@
         A heartbeat that may be of the living server counts as well, since a flow that a
         draining server takes is worse than one that waits.
         """
-        candidate = self._succession.candidate
+        candidate = self.succession.candidate
         return any(
             heartbeat is not None and heartbeat.is_draining
             for heartbeat in (self._last_heartbeat, candidate)
         )
 
-    @property
-    def followed_since(self) -> float:
-        """Return when the first heartbeat of the followed incarnation arrived."""
-        return self._succession.followed_since
-
     @property
     def slots(self) -> int:
         """Return how many requests the server runs concurrently."""
@@ -144,17 +143,11 @@
             return HeartbeatChange.REJECTED
         previous = self._last_heartbeat
         is_other = previous is None or heartbeat.born != previous.born
-        if is_other and relay_ages.is_younger_than_agent(
-            heartbeat,
-            age_seconds,
-            now - self._started_at,
-            now - self._listening_since,
-            self._heartbeat_seconds,
-        ):
-            self._younger_born = heartbeat.born
+        if is_other:
+            self.ages.estimate(heartbeat, now, age_seconds)
         if previous is None:
-            self.is_known_since_start = heartbeat.born == self._younger_born
-            self._succession.record_followed(now)
+            self.is_known_since_start = self.ages.is_younger(heartbeat.born)
+            self.succession.record_followed(now)
             self._follow(heartbeat, now)
             return HeartbeatChange.CHANGED
         if is_other:
@@ -162,11 +155,20 @@
         if heartbeat.sequence <= previous.sequence:
             return HeartbeatChange.STALE
         was_draining = self.is_draining
-        self._succession.record_followed(now)
+        self.succession.record_followed(now)
         self._follow(heartbeat, now)
         is_changed = self.is_draining != was_draining
         return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
 
+    def settle_start(self, listed_born: int) -> None:
+        """Record which incarnation an earlier process of the agent has listed.
+
+        :param listed_born: start time of that incarnation, 0 if there is none.
+        """
+        self.ages.settle(listed_born)
+        if self._last_heartbeat is not None and self.ages.is_younger(self.born):
+            self.is_known_since_start = True
+
     def _record_other(
         self,
         heartbeat: relay_heartbeats.Heartbeat,
@@ -174,14 +176,14 @@
         now: float,
     ) -> HeartbeatChange:
         """Record a heartbeat of another incarnation than the followed one."""
-        is_successor = self._succession.is_successor(
+        is_successor = self.succession.is_successor(
             heartbeat, previous.born, now, has_left=self.is_gone
         )
         if not is_successor:
             return HeartbeatChange.REJECTED
-        is_doubtful = self._succession.is_doubtful(now) and not self.is_gone
-        self._succession.replace(previous.born, now)
-        self.is_known_since_start = heartbeat.born == self._younger_born
+        is_doubtful = self.succession.is_doubtful(now) and not self.is_gone
+        self.succession.replace(previous.born, now)
+        self.is_known_since_start = self.ages.is_younger(heartbeat.born)
         self.is_gone = False
         if is_doubtful:
             self._follow(heartbeat, now)
@@ -207,7 +209,7 @@
 
     def record_listening(self, now: float) -> None:
         """Record that heartbeats can be received from now on."""
-        self._listening_since = now
+        self.ages.listening_since = now
 
     def record_predecessor(self, born: int) -> bool:
         """Record that an earlier process of the agent followed an incarnation.
@@ -261,11 +263,11 @@
         :param now: the time in seconds.
         :return: that heartbeat, None if no other incarnation is followed.
         """
-        self._succession.record_lost_flow()
-        candidate, previous = self._succession.candidate, self._last_heartbeat
+        self.succession.record_lost_flow()
+        candidate, previous = self.succession.candidate, self._last_heartbeat
         if candidate is None or previous is None:
             return None
-        self._younger_born = candidate.born
+        self.ages.record_younger(candidate.born)
         change = self._record_other(candidate, previous, now)
         return candidate if change is HeartbeatChange.RESTARTED else None
 
@@ -273,10 +275,9 @@
         """Exclude a pause of this process from the silence of the server."""
         self._last_heartbeat_at += seconds
         self._last_packet_at += seconds
-        self._succession.discount_pause(seconds)
+        self.succession.discount_pause(seconds)
         self._unanswered_since += seconds
-        self._started_at += seconds
-        self._listening_since += seconds
+        self.ages.discount_pause(seconds)
         self._seen_since += seconds
         self._probed_since += seconds
 
@@ -290,7 +291,7 @@
         Those that a server sent before the sockets were open were refused.
         """
         overdue_seconds = ABSENT_HEARTBEATS * self._heartbeat_seconds
-        waited_seconds = now - self._listening_since
+        waited_seconds = now - self.ages.listening_since
         return not self.has_been_seen() and waited_seconds <= overdue_seconds
 
     def is_absent(self, now: float) -> bool:
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -62,6 +62,7 @@
             agent_settings.heartbeat_ms / relay_server.MILLISECONDS_PER_SECOND,
             started_at,
             agent_settings.backend,
+            has_listing=True,
         )
         self._announcer = relay_announcing.Announcer(
             agent_settings.name, agent_settings.domain
@@ -81,6 +82,8 @@
             process=int.from_bytes(os.urandom(PROCESS_NUMBER_BYTES)),
         )
         self._may_list = False
+        self._listed_born: int | None = None
+        self._predecessor_born: int | None = None
         self._listing_thread: threading.Thread | None = None
         self._stop_listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
@@ -226,6 +229,7 @@
                 self._flows.on_heartbeat(announcement, now, age_seconds)
             )
             self._list_once_server_is_seen()
+            self._list_server()
             if not self._server.has_taken(announcement):
                 return _http.CONFLICT, b'{}'
         return _http.OK, b'{}'
@@ -262,6 +266,13 @@
             self._may_list = True
             self._start_listing(self._ensure_listed)
 
+    def _list_server(self) -> None:
+        """List which incarnation of the server is followed, once it is another one."""
+        self._settle_start()
+        is_listed = self._listed_born in (None, self._server.born)
+        if not is_listed and self._draining_since is None:
+            self._start_listing(self._put_listing)
+
     def _start_listing(self, task: _process.Task) -> None:
         """Start a thread that lists this agent in the store, unless one is running.
 
@@ -279,8 +290,13 @@
             self._settings.domain,
             self._settings.entries,
             stopped_process,
+            self._followed_born(),
         )
 
+    def _followed_born(self) -> int:
+        """Return the start of the server that this or an earlier process follows."""
+        return self._server.born or self._predecessor_born or 0
+
     def _is_listing_stop(self) -> bool:
         thread = self._stop_listing_thread
         return thread is not None and thread.is_alive()
@@ -307,20 +323,42 @@
             self._ensure_listed()
 
     def _ensure_listed(self) -> None:
-        key, data = self._own_item()
-        client = self._platform.store
-        is_listed = self._announce_to_entries(key, data)
-        if is_listed:
+        listed_data = self._announce_to_entries()
+        if self._predecessor_born is None:
+            self._predecessor_born = listings.read_server_born(listed_data)
+            self._loop.post(self._settle_start)
+        born = self._followed_born()
+        _, data = self._own_item()
+        if listed_data == data:
+            self._listed_born = born
             return
+        self._put_listing()
+        # Entries that were listed since the first listing may have missed this agent.
+        if not listings.lists_same_agent(listed_data, data):
+            self._announce_to_entries()
+
+    def _put_listing(self) -> None:
+        born = self._followed_born()
+        key, data = self._own_item()
         _process.retry_until_answered(
-            lambda: client.put(key, data), self._log, 'put own listing'
+            lambda: self._platform.store.put(key, data), self._log, 'put own listing'
         )
-        self._log('agent_listed', key=key)
-        # Entries that were listed since the first listing may have missed this agent.
-        self._announce_to_entries(key, data)
+        self._listed_born = born
+        self._log('agent_listed', key=key, born=born)
+
+    def _settle_start(self) -> None:
+        """Use the listing of an earlier process to tell how old the server is."""
+        if self._predecessor_born is not None and self._server.ages.unsettled_born:
+            self._server.settle_start(self._predecessor_born)
+            self._log(
+                'server_start_settled',
+                listed=self._predecessor_born,
+                born=self._server.born,
+                known_since_start=self._server.is_known_since_start,
+            )
 
-    def _announce_to_entries(self, key: str, data: bytes) -> bool:
-        """Announce this agent to all listed entries; tell whether it is listed."""
+    def _announce_to_entries(self) -> bytes:
+        """Announce this agent to all listed entries; return its own listing, if any."""
         listing = _process.retry_until_answered(
             lambda: self._platform.store.list_prefix(listings.PREFIX),
             self._log,
@@ -329,7 +367,8 @@
         peers = [listings.read_entry(item) for item in listing.items]
         entries = [peer.address for peer in peers if peer is not None]
         self._loop.post(lambda: self._flows.announce(entries, self._clock()))
-        return any(item.key == key and item.data == data for item in listing.items)
+        key, _ = self._own_item()
+        return next((item.data for item in listing.items if item.key == key), b'')
 
     def _unlist_self(self) -> None:
         key = listings.AGENTS_PREFIX + self._settings.name
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -19,6 +19,7 @@
     domain: str
     address: str
     stopped: _decoding.Natural = 0
+    server_born: _decoding.Natural = 0
 
 
 class _EntryListing(msgspec.Struct):
@@ -48,13 +49,16 @@
     domain: str,
     address: addresses.Address,
     stopped_process: int = 0,
+    server_born: int = 0,
 ) -> tuple[str, bytes]:
     """Return the key and the value that list an agent.
 
     :param stopped_process: number of the agent's process that ends while its backend
         server goes on, 0 while the agent runs.
+    :param server_born: start time of the incarnation of its server that the agent
+        follows, 0 before it follows any.
     """
-    listing = _AgentListing(service, domain, str(address), stopped_process)
+    listing = _AgentListing(service, domain, str(address), stopped_process, server_born)
     return AGENTS_PREFIX + name, msgspec.json.encode(listing)
 
 
@@ -99,6 +103,28 @@
     )
 
 
+def read_server_born(listed: bytes) -> int:
+    """Return the start time of the server that a listed agent follows, 0 if none.
+
+    :param listed: value of the agent's item, empty if there is none.
+    """
+    try:
+        return _decoding.decode_json(listed, _AgentListing).server_born
+    except msgspec.DecodeError:
+        return 0
+
+
+def lists_same_agent(listed: bytes, other: bytes) -> bool:
+    """Tell whether two values list the same agent, whatever server it follows."""
+    try:
+        listing = _decoding.decode_json(listed, _AgentListing)
+        other_listing = _decoding.decode_json(other, _AgentListing)
+    except msgspec.DecodeError:
+        return False
+    listing.server_born = other_listing.server_born
+    return listing == other_listing
+
+
 def read_entry(item: store.Item) -> Peer | None:
     """Return the entry that an item lists, None when it lists no entry."""
     if not item.key.startswith(ENTRIES_PREFIX):
--- a/tests/decisions/test_relay_server.py
+++ b/tests/decisions/test_relay_server.py
@@ -107,3 +107,18 @@
     server.record_probe(11.5)
     assert not server.is_absent(12.0)
     assert server.is_absent(12.1)
+
+
+@pytest.mark.parametrize(
+    ('listed_born', 'is_known'), [(5000, False), (4000, True), (0, True)]
+)
+def test_time_of_day_counts_only_beside_the_listing_of_an_earlier_process(
+    listed_born, is_known
+):
+    """Guards against denied flows after a clock step and the end of all daemons."""
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS, has_listing=True)
+    cold = build.heartbeat('i-1', 5000, 4, cold_ms=1500)
+    server.record_heartbeat(cold, 0.2, 0.1)
+    assert not server.is_known_since_start
+    server.settle_start(listed_born)
+    assert server.is_known_since_start == is_known
