A server that goes on after a leave call is used again

Cause: a leave call names no incarnation, and no later heartbeat took it back.

Fix: two heartbeats of the followed incarnation after the call, half an interval apart, show that it goes on. Ruled out: one heartbeat, which may have been sent before the call and be read after it.

Evidence: the new test failed before.

--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -154,10 +154,11 @@
             return self._record_other(heartbeat, previous, now)
         if heartbeat.sequence <= previous.sequence:
             return HeartbeatChange.STALE
-        was_draining = self.is_draining
+        before = (self.is_draining, self.is_gone)
         self.succession.record_followed(now)
+        self.is_gone = self.is_gone and not self.succession.is_back(now)
         self._follow(heartbeat, now)
-        is_changed = self.is_draining != was_draining
+        is_changed = (self.is_draining, self.is_gone) != before
         return HeartbeatChange.CHANGED if is_changed else HeartbeatChange.NOTHING
 
     def settle_start(self, listed_born: int) -> None:
@@ -236,6 +237,7 @@
         if self._last_heartbeat is None or name != self._last_heartbeat.name:
             return False
         self.is_gone = True
+        self.succession.record_leave()
         return True
 
     def record_sent(self, now: float) -> None:
--- a/src/egretjunction/decisions/relay_succession.py
+++ b/src/egretjunction/decisions/relay_succession.py
@@ -38,6 +38,7 @@
         '_has_followed_lost_flow',
         '_heartbeat_seconds',
         '_past_borns',
+        '_returned_at',
         'candidate',
         'followed_since',
     )
@@ -51,6 +52,7 @@
         self._followed_count = 0
         self._followed_heard_at = -math.inf
         self._has_followed_lost_flow = False
+        self._returned_at = math.inf
         self._candidate_count = 0
         self._candidate_since = -math.inf
         self.candidate: relay_heartbeats.Heartbeat | None = None
@@ -60,12 +62,26 @@
         """Record a heartbeat of the followed incarnation."""
         self._followed_count += 1
         self._followed_heard_at = now
+        self._returned_at = min(self._returned_at, now)
         if self._doubtful_born is not None and self._is_confirmed():
             self._past_borns.append(self._doubtful_born)
             self._doubtful_born = None
         self._has_followed_lost_flow = False
         self.candidate = None
 
+    def record_leave(self) -> None:
+        """Record that a leave call has named the followed incarnation."""
+        self._returned_at = math.inf
+
+    def is_back(self, now: float) -> bool:
+        """Tell whether the followed incarnation goes on after a leave call.
+
+        The call may be a late one of an earlier incarnation of the same name; one
+        heartbeat after it may have been sent before.
+        """
+        back_seconds = now - self._returned_at
+        return back_seconds >= REPEATED_HEARTBEATS * self._heartbeat_seconds
+
     def record_lost_flow(self) -> None:
         """Record that the server does not hold a flow that it had confirmed."""
         self._has_followed_lost_flow = self.candidate is not None
@@ -98,6 +114,7 @@
         """Exclude a pause of this process from the silence of the server."""
         self._followed_heard_at += seconds
         self._candidate_since += seconds
+        self._returned_at += seconds
         self.followed_since += seconds
 
     def is_successor(
--- a/tests/decisions/test_relay_succession.py
+++ b/tests/decisions/test_relay_succession.py
@@ -93,6 +93,23 @@
     assert agent.server.name == 'i-2'
 
 
+def test_server_that_goes_on_after_a_late_leave_call_is_used_again():
+    """Guards against a living server that gets no flow until its next start.
+
+    The leave call of an earlier incarnation of the same name was held up.
+    """
+    server = _living_server()
+    server.record_leave('i-1')
+    server.record_heartbeat(build.heartbeat('i-1', 5000, 4), 3)
+    assert server.state(3) is relaying.State.GONE
+    server.record_heartbeat(build.heartbeat('i-1', 5000, 5), 3.2)
+    assert server.state(3.2) is relaying.State.GONE
+    again = build.heartbeat('i-1', 5000, 6)
+    assert server.record_heartbeat(again, 4) is CHANGE.CHANGED
+    assert server.state(4) is relaying.State.READY
+    assert not server.holds_nothing(4)
+
+
 @pytest.mark.parametrize(
     ('sequence', 'uptime_seconds', 'is_known'),
     [
