Two late heartbeats can't shut a living server out for good

Callers would see new flows at a draining server and none at a ready one for the rest of its life: two heartbeats of a dead incarnation whose clock was ahead, between the first two that a restarted agent gets of the living one, replaced it and made its start time one of the past.

Cause: that an incarnation was replaced was never taken back, whatever it sent afterwards.

Fix: a replaced incarnation that sends five heartbeats, half an interval apart or more, while the other one is silent is followed again, without a reset of any flow. A dead sender leaves fewer on the way, since it waits a second for each answer. Ruled out: no memory of replaced incarnations, with which three late heartbeats bring a dead one back (test_replaced_incarnation_does_not_come_back).

The soak now sends heartbeats of dead incarnations, later and earlier ones, and of other writers.

--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -23,8 +23,8 @@
 
     A stale heartbeat is an older one of the same incarnation. A rejected one is of
     another service or address, or of an incarnation that does not replace the followed
-    one. A correcting one shows that the only heartbeat so far was held up, and of an
-    incarnation that had ended.
+    one. A correcting one shows that an incarnation was followed by mistake, since its
+    heartbeats were held up and it had ended.
     """
 
     NOTHING = 'nothing'
@@ -116,7 +116,7 @@
         A heartbeat that may be of the living server counts as well, since a flow that a
         draining server takes is worse than one that waits.
         """
-        candidate = self.succession.candidate
+        candidate = self.succession.possible_successor
         return any(
             heartbeat is not None and heartbeat.is_draining
             for heartbeat in (self._last_heartbeat, candidate)
@@ -183,10 +183,11 @@
         if not is_successor:
             return HeartbeatChange.REJECTED
         is_doubtful = self.succession.is_doubtful(now) and not self.is_gone
+        is_mistake = is_doubtful or self.succession.is_past(heartbeat.born)
         self.succession.replace(previous.born, now)
         self.is_known_since_start = self.ages.is_younger(heartbeat.born)
         self.is_gone = False
-        if is_doubtful:
+        if is_mistake:
             self._follow(heartbeat, now)
             return HeartbeatChange.CORRECTED
         self._seen_since = math.inf
@@ -266,7 +267,8 @@
         :return: that heartbeat, None if no other incarnation is followed.
         """
         self.succession.record_lost_flow()
-        candidate, previous = self.succession.candidate, self._last_heartbeat
+        candidate = self.succession.possible_successor
+        previous = self._last_heartbeat
         if candidate is None or previous is None:
             return None
         self.ages.record_younger(candidate.born)
--- a/src/egretjunction/decisions/relay_succession.py
+++ b/src/egretjunction/decisions/relay_succession.py
@@ -16,6 +16,9 @@
 # Of the interval; heartbeats that a partition held up arrive closer to each other.
 REPEATED_HEARTBEATS = 0.5
 CONFIRMING_HEARTBEATS = 2
+# More than a dead server can have left on the way: it sends one after the other, and
+# waits a second for each answer.
+RETURNING_HEARTBEATS = 5
 MAX_PAST_INCARNATIONS = 16
 
 
@@ -58,6 +61,13 @@
         self.candidate: relay_heartbeats.Heartbeat | None = None
         self.followed_since = -math.inf
 
+    @property
+    def possible_successor(self) -> relay_heartbeats.Heartbeat | None:
+        """Return the latest heartbeat of an incarnation that was not followed yet."""
+        if self.candidate is None or self.is_past(self.candidate.born):
+            return None
+        return self.candidate
+
     def record_followed(self, now: float) -> None:
         """Record a heartbeat of the followed incarnation."""
         self._followed_count += 1
@@ -84,7 +94,7 @@
 
     def record_lost_flow(self) -> None:
         """Record that the server does not hold a flow that it had confirmed."""
-        self._has_followed_lost_flow = self.candidate is not None
+        self._has_followed_lost_flow = self.possible_successor is not None
 
     def replace(self, past_born: int, now: float) -> None:
         """Follow the incarnation whose heartbeat has just arrived.
@@ -92,6 +102,8 @@
         :param past_born: start time of the incarnation that it replaces.
         :param now: the time in seconds.
         """
+        if self.candidate is not None and self.is_past(self.candidate.born):
+            self._past_borns.remove(self.candidate.born)
         if self.is_doubtful(now):
             self._doubtful_born = past_born
         else:
@@ -136,14 +148,29 @@
         :param now: the time in seconds.
         :param has_left: whether the followed incarnation has announced its end.
         """
-        if heartbeat.born in self._past_borns:
-            return False
+        if self.is_past(heartbeat.born):
+            return self._is_returning(heartbeat, now)
         is_repeated = self._is_repeated(heartbeat, now)
         has_ended = has_left or self._has_followed_lost_flow or self.is_silent(now)
         if heartbeat.born > followed_born:
             return has_ended or not self._is_confirmed()
         return has_ended and is_repeated
 
+    def is_past(self, born: int) -> bool:
+        """Tell whether an incarnation was followed once and then replaced."""
+        return born in self._past_borns
+
+    def _is_returning(self, heartbeat: relay_heartbeats.Heartbeat, now: float) -> bool:
+        """Tell whether a replaced incarnation lives, and the one that replaced it not.
+
+        Held-up heartbeats of an ended one may have replaced it by mistake.
+        """
+        if self.possible_successor is not None:
+            return False
+        self._is_repeated(heartbeat, now)
+        is_lasting = self._candidate_count >= RETURNING_HEARTBEATS
+        return is_lasting and self.is_silent(now)
+
     def _is_confirmed(self) -> bool:
         return self._followed_count >= CONFIRMING_HEARTBEATS
 
--- a/tests/decisions/test_relay_succession.py
+++ b/tests/decisions/test_relay_succession.py
@@ -93,6 +93,26 @@
     assert agent.server.name == 'i-2'
 
 
+def test_living_server_is_followed_again_after_late_heartbeats_replaced_it():
+    """Guards against a server whose heartbeats are rejected for good.
+
+    Two heartbeats of a dead incarnation, whose clock was ahead, arrive between the
+    first two that a restarted agent gets of the living one.
+    """
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS)
+    server.record_heartbeat(build.heartbeat('i-1', 5000, 30), 0)
+    server.record_heartbeat(build.heartbeat('i-0', 6000, 8), 0.3)
+    server.record_heartbeat(build.heartbeat('i-0', 6000, 9), 0.9)
+    changes = [
+        server.record_heartbeat(build.heartbeat('i-1', 5000, 30 + number), number)
+        for number in range(1, 7)
+    ]
+    assert changes[:4] == [CHANGE.REJECTED] * 4
+    assert CHANGE.CORRECTED in changes
+    assert CHANGE.RESTARTED not in changes
+    assert server.name == 'i-1'
+
+
 def test_server_that_goes_on_after_a_late_leave_call_is_used_again():
     """Guards against a living server that gets no flow until its next start.
 
--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -31,16 +31,31 @@
 LAST_OUTAGE_SECONDS = 2.2
 STABLE_SECONDS = 4.0  # machines whose connections went silent count as disturbed
 BOUND_SECONDS = 3.0
+FOREIGN_HEARTBEATS = 0.06  # share of the servers' own heartbeats
 MAX_AWAY_SECONDS = 6.0  # of an agent that is stopped as planned
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
 
-def heartbeat(sequence, host):
-    """Return the body of a heartbeat of the backend server at a host."""
+def heartbeat(sequence, host, **fields):
+    """Return the body of a heartbeat of the backend server at a host.
+
+    :param fields: fields that differ; those that are None are left out.
+    """
     body = {'service': SERVICE, 'capacity': 50, 'state': 'ready'}
     body |= {'address': f'{host}:{BACKEND}', 'zone': 'a', 'version': 'v1'}
-    body |= {'cold_remaining_ms': 0, 'born': 1000, 'sequence': sequence}
-    return json.dumps(body)
+    body |= {'cold_remaining_ms': 0, 'born': 1000, 'sequence': sequence} | fields
+    return json.dumps({name: body[name] for name in body if body[name] is not None})
+
+
+def _announce(host, name, body):
+    """Send a heartbeat to an agent, which may be down."""
+    connection = http.client.HTTPConnection(host, ANNOUNCEMENTS, timeout=0.3)
+    with (
+        contextlib.closing(connection),
+        contextlib.suppress(OSError, http.client.HTTPException),
+    ):
+        connection.request('PUT', f'/instances/{name}', body)
+        connection.getresponse().read()
 
 
 class Process:
@@ -153,6 +168,7 @@
         draw = random.Random(f'silences {seed}')
         self._silences_at = [draw.random() for _ in range(draw.randint(0, 2))]
         self._absence_draw = random.Random(f'absences {seed}')
+        self._heartbeat_draw = random.Random(f'heartbeats {seed}')
 
     def run(self, seconds):
         """Play the run; return what was broken."""
@@ -345,16 +361,20 @@
         while not self._is_over.wait(0.4):
             sequence += 1
             for agent in self.agents:
-                connection = http.client.HTTPConnection(
-                    agent.host, ANNOUNCEMENTS, timeout=0.3
-                )
-                with (
-                    contextlib.closing(connection),
-                    contextlib.suppress(OSError, http.client.HTTPException),
-                ):
-                    body = heartbeat(sequence, agent.host)
-                    connection.request('PUT', '/instances/i-1', body)
-                    connection.getresponse().read()
+                _announce(agent.host, 'i-1', heartbeat(sequence, agent.host))
+                if self._heartbeat_draw.random() < FOREIGN_HEARTBEATS:
+                    self._announce_other(agent.host)
+
+    def _announce_other(self, host):
+        """Send a heartbeat of a dead incarnation, or of another writer."""
+        fields = {
+            'born': self._heartbeat_draw.choice((500, 1500)),
+            'state': self._heartbeat_draw.choice(('ready', 'draining')),
+        }
+        if self._heartbeat_draw.random() < 0.3:
+            fields['address'] = self._heartbeat_draw.choice((None, '127.0.0.1:9'))
+        sequence = self._heartbeat_draw.randint(2, 60)
+        _announce(host, 'i-0', heartbeat(sequence, host, **fields))
 
     def _check_readiness(self):
         while not self._is_over.wait(0.2):
