Flows of a new incarnation outlast late heartbeats before it is followed

Callers would see flows reset that the new incarnation of a crashed server had already accepted: between its first heartbeat and the one at which it is followed, a late heartbeat of a dead incarnation arrived, and the time of its first one was forgotten.

Cause: one record for whatever incarnation was heard last.

Fix: a record for each incarnation, and the time of the first heartbeat of each outlasts those of the followed one. Ruled out: resetting nothing when a successor is followed, with which requests in progress at a crashed server wait for their deadline.

--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -116,11 +116,9 @@
         A heartbeat that may be of the living server counts as well, since a flow that a
         draining server takes is worse than one that waits.
         """
-        candidate = self.succession.possible_successor
-        return any(
-            heartbeat is not None and heartbeat.is_draining
-            for heartbeat in (self._last_heartbeat, candidate)
-        )
+        followed = self._last_heartbeat
+        is_draining = followed is not None and followed.is_draining
+        return is_draining or self.succession.has_draining_candidate
 
     @property
     def slots(self) -> int:
@@ -184,7 +182,7 @@
             return HeartbeatChange.REJECTED
         is_doubtful = self.succession.is_doubtful(now) and not self.is_gone
         is_mistake = is_doubtful or self.succession.is_past(heartbeat.born)
-        self.succession.replace(previous.born, now)
+        self.succession.replace(previous.born, heartbeat.born, now)
         self.is_known_since_start = self.ages.is_younger(heartbeat.born)
         self.is_gone = False
         if is_mistake:
--- a/src/egretjunction/decisions/relay_succession.py
+++ b/src/egretjunction/decisions/relay_succession.py
@@ -22,27 +22,49 @@
 MAX_PAST_INCARNATIONS = 16
 
 
+class _Candidate:
+    """Heartbeats of another incarnation since the last one of the followed incarnation.
+
+    :param heartbeat: the first of them; later the latest one.
+    :param now: the time in seconds.
+    """
+
+    __slots__ = ('count', 'heartbeat', 'since')
+
+    def __init__(self, heartbeat: relay_heartbeats.Heartbeat, now: float) -> None:
+        self.heartbeat = heartbeat
+        self.since = now
+        self.count = 1
+
+    def add(self, heartbeat: relay_heartbeats.Heartbeat) -> None:
+        """Record another heartbeat, unless it is older than the latest one."""
+        if heartbeat.sequence > self.heartbeat.sequence:
+            self.heartbeat = heartbeat
+            self.count += 1
+
+    def lasts(self, count: int, seconds: float, now: float) -> bool:
+        """Tell whether it has sent some heartbeats over some time."""
+        return self.count >= count and now - self.since >= seconds
+
+
 class Succession:
     """Decides when the heartbeats of another incarnation count.
 
-    ``candidate`` is the latest heartbeat of another incarnation than the followed one,
-    None if there is none; ``followed_since`` is the time of the first heartbeat of the
-    followed one.
+    ``followed_since`` is the time of the first heartbeat of the followed incarnation.
 
     :param heartbeat_seconds: interval between heartbeats.
     """
 
     __slots__ = (
-        '_candidate_count',
-        '_candidate_since',
+        '_candidate_by_born',
         '_doubtful_born',
+        '_first_heard_by_born',
         '_followed_count',
         '_followed_heard_at',
         '_has_followed_lost_flow',
         '_heartbeat_seconds',
         '_past_borns',
         '_returned_at',
-        'candidate',
         'followed_since',
     )
 
@@ -56,17 +78,29 @@
         self._followed_heard_at = -math.inf
         self._has_followed_lost_flow = False
         self._returned_at = math.inf
-        self._candidate_count = 0
-        self._candidate_since = -math.inf
-        self.candidate: relay_heartbeats.Heartbeat | None = None
+        self._candidate_by_born: dict[int, _Candidate] = {}
+        self._first_heard_by_born: dict[int, float] = {}
         self.followed_since = -math.inf
 
     @property
     def possible_successor(self) -> relay_heartbeats.Heartbeat | None:
-        """Return the latest heartbeat of an incarnation that was not followed yet."""
-        if self.candidate is None or self.is_past(self.candidate.born):
+        """Return a heartbeat of the likeliest incarnation that was not followed yet."""
+        candidates = [
+            candidate
+            for born, candidate in self._candidate_by_born.items()
+            if not self.is_past(born)
+        ]
+        if not candidates:
             return None
-        return self.candidate
+        return max(candidates, key=_likelihood).heartbeat
+
+    @property
+    def has_draining_candidate(self) -> bool:
+        """Tell whether an incarnation that may be the living one drains."""
+        return any(
+            candidate.heartbeat.is_draining and not self.is_past(born)
+            for born, candidate in self._candidate_by_born.items()
+        )
 
     def record_followed(self, now: float) -> None:
         """Record a heartbeat of the followed incarnation."""
@@ -77,7 +111,7 @@
             self._past_borns.append(self._doubtful_born)
             self._doubtful_born = None
         self._has_followed_lost_flow = False
-        self.candidate = None
+        self._candidate_by_born.clear()
 
     def record_leave(self) -> None:
         """Record that a leave call has named the followed incarnation."""
@@ -96,20 +130,21 @@
         """Record that the server does not hold a flow that it had confirmed."""
         self._has_followed_lost_flow = self.possible_successor is not None
 
-    def replace(self, past_born: int, now: float) -> None:
-        """Follow the incarnation whose heartbeat has just arrived.
+    def replace(self, past_born: int, born: int, now: float) -> None:
+        """Follow an incarnation that has been found to be the successor.
 
         :param past_born: start time of the incarnation that it replaces.
+        :param born: its start time.
         :param now: the time in seconds.
         """
-        if self.candidate is not None and self.is_past(self.candidate.born):
-            self._past_borns.remove(self.candidate.born)
+        if self.is_past(born):
+            self._past_borns.remove(born)
         if self.is_doubtful(now):
             self._doubtful_born = past_born
         else:
             self._past_borns.append(past_born)
-        self.followed_since = self._candidate_since
-        self._followed_count = self._candidate_count - 1
+        self.followed_since = self._first_heard_by_born.get(born, now)
+        self._followed_count = self._candidate_by_born[born].count - 1
         self.record_followed(now)
 
     def is_silent(self, now: float) -> bool:
@@ -125,7 +160,10 @@
     def discount_pause(self, seconds: float) -> None:
         """Exclude a pause of this process from the silence of the server."""
         self._followed_heard_at += seconds
-        self._candidate_since += seconds
+        for candidate in self._candidate_by_born.values():
+            candidate.since += seconds
+        for born in self._first_heard_by_born:
+            self._first_heard_by_born[born] += seconds
         self._returned_at += seconds
         self.followed_since += seconds
 
@@ -148,43 +186,51 @@
         :param now: the time in seconds.
         :param has_left: whether the followed incarnation has announced its end.
         """
+        candidate = self._record_candidate(heartbeat, now)
         if self.is_past(heartbeat.born):
-            return self._is_returning(heartbeat, now)
-        is_repeated = self._is_repeated(heartbeat, now)
+            return self._is_returning(candidate, now)
         has_ended = has_left or self._has_followed_lost_flow or self.is_silent(now)
         if heartbeat.born > followed_born:
             return has_ended or not self._is_confirmed()
-        return has_ended and is_repeated
+        repeat_seconds = REPEATED_HEARTBEATS * self._heartbeat_seconds
+        return has_ended and candidate.lasts(2, repeat_seconds, now)
 
     def is_past(self, born: int) -> bool:
         """Tell whether an incarnation was followed once and then replaced."""
         return born in self._past_borns
 
-    def _is_returning(self, heartbeat: relay_heartbeats.Heartbeat, now: float) -> bool:
+    def _is_returning(self, candidate: _Candidate, now: float) -> bool:
         """Tell whether a replaced incarnation lives, and the one that replaced it not.
 
         Held-up heartbeats of an ended one may have replaced it by mistake.
         """
-        if self.possible_successor is not None:
-            return False
-        self._is_repeated(heartbeat, now)
-        is_lasting = self._candidate_count >= RETURNING_HEARTBEATS
+        least_seconds = (
+            RETURNING_HEARTBEATS * REPEATED_HEARTBEATS * self._heartbeat_seconds
+        )
+        is_lasting = candidate.lasts(RETURNING_HEARTBEATS, least_seconds, now)
         return is_lasting and self.is_silent(now)
 
     def _is_confirmed(self) -> bool:
         return self._followed_count >= CONFIRMING_HEARTBEATS
 
-    def _is_repeated(self, heartbeat: relay_heartbeats.Heartbeat, now: float) -> bool:
-        """Keep a heartbeat as the candidate's; tell whether it is not the first one."""
-        candidate = self.candidate
-        if candidate is None or candidate.born != heartbeat.born:
-            self._candidate_since = now
-            self._candidate_count = 1
-            self.candidate = heartbeat
-            return False
-        if heartbeat.sequence <= candidate.sequence:
-            return False
-        self._candidate_count += 1
-        self.candidate = heartbeat
-        waited_seconds = now - self._candidate_since
-        return waited_seconds >= REPEATED_HEARTBEATS * self._heartbeat_seconds
+    def _record_candidate(
+        self, heartbeat: relay_heartbeats.Heartbeat, now: float
+    ) -> _Candidate:
+        """Keep a heartbeat of another incarnation; return the incarnation's record."""
+        born = heartbeat.born
+        self._first_heard_by_born.setdefault(born, now)
+        if len(self._first_heard_by_born) > MAX_PAST_INCARNATIONS:
+            self._first_heard_by_born.pop(next(iter(self._first_heard_by_born)))
+        candidate = self._candidate_by_born.get(born)
+        if candidate is None:
+            if len(self._candidate_by_born) >= MAX_PAST_INCARNATIONS:
+                self._candidate_by_born.clear()
+            candidate = _Candidate(heartbeat, now)
+            self._candidate_by_born[born] = candidate
+        candidate.add(heartbeat)
+        return candidate
+
+
+def _likelihood(candidate: _Candidate) -> tuple[int, int]:
+    """Return a figure that is higher for incarnations that more likely live."""
+    return candidate.count, candidate.heartbeat.born
--- a/tests/decisions/test_relay_machine.py
+++ b/tests/decisions/test_relay_machine.py
@@ -21,6 +21,7 @@
 TICK_SECONDS = 0.025
 agent_numbers = strategies.integers(0, 2)
 entries = strategies.sampled_from(ENTRIES)
+dead_borns = strategies.sampled_from((1, 1_000_000))  # the latter's clock was ahead
 lost_message_counts = strategies.integers(0, 3)  # between entries and agents
 
 
@@ -82,6 +83,7 @@
         self.now = 0.0
         self.born = 10
         self.messages_to_lose = 0
+        self.late_heartbeats = 0
         self.queue = collections.deque()
         self.client_by_key = {}
         self.servers_by_key = collections.defaultdict(set)
@@ -99,7 +101,7 @@
         self.born += 1
         self.server_by_name[name] = Server(self.born)
 
-    def _start_agent(self, name):
+    def _start_agent(self, name, dead_born=None):
         server = relay_server.Server(build.SERVICE, 1.0)
         self.agent_by_name[name] = relay_agent.AgentFlows(
             server,
@@ -107,6 +109,8 @@
             build.MAX_FLOW_SECONDS,
             build.announcer(),
         )
+        if dead_born is not None:
+            self._send_late_heartbeat(name, dead_born)
         self._send_heartbeat(name)
 
     def _start_entry(self, name):
@@ -123,6 +127,18 @@
         heartbeat = self.server_by_name[name].heartbeat()
         self._apply(name, self.agent_by_name[name].on_heartbeat(heartbeat, self.now))
 
+    def _send_late_heartbeat(self, name, born):
+        """Deliver a heartbeat of a dead incarnation that was held up.
+
+        It is draining: after a restart of the agent, a ready one may hide that the
+        living server drains until that one's next heartbeat.
+        """
+        self.late_heartbeats += 1
+        late = build.heartbeat(
+            f'i-{born}', born, 1 + self.late_heartbeats, is_draining=True
+        )
+        self._apply(name, self.agent_by_name[name].on_heartbeat(late, self.now))
+
     def _apply(self, source, emitted):
         for effect in emitted:
             if isinstance(effect, effects.Reset):
@@ -236,6 +252,18 @@
         self._start_agent(AGENTS[number])
         self._process_queue()
 
+    @stateful.rule(number=agent_numbers, dead_born=dead_borns)
+    def restart_agent_to_late_heartbeat(self, number, dead_born):
+        """Restart an agent that hears of a dead incarnation of its server first."""
+        self._start_agent(AGENTS[number], dead_born)
+        self._process_queue()
+
+    @stateful.rule(number=agent_numbers, dead_born=dead_borns)
+    def deliver_late_heartbeat(self, number, dead_born):
+        """Deliver a heartbeat that was held up until after its sender's end."""
+        self._send_late_heartbeat(AGENTS[number], dead_born)
+        self._process_queue()
+
     @stateful.rule(name=entries)
     def restart_entry(self, name):
         """Restart an entry without any state."""
--- a/tests/decisions/test_relay_succession.py
+++ b/tests/decisions/test_relay_succession.py
@@ -153,6 +153,30 @@
     assert agent.status(uptime_seconds).knows_all_flows == is_known
 
 
+@pytest.mark.parametrize('late_born', [500, 1000])
+def test_flows_since_the_successors_first_heartbeat_outlast_a_late_one(late_born):
+    """Guards against the reset of a new incarnation's flows when it is followed.
+
+    A heartbeat of another dead incarnation, or a last one of the crashed one, arrives
+    in between.
+    """
+    agent = build.agent()
+    agent.on_heartbeat(build.heartbeat(sequence=2), 1)
+    agent.on_heartbeat(build.heartbeat('i-2', 2000, 1), 1.2)
+    agent.on_message(build.offer(build.first_packet()), build.ENTRY, 1.3)
+    agent.on_server_packet(build.opening(), 1.3)
+    agent.on_message(relaying.Deliver(build.request().raw), build.ENTRY, 1.4)
+    agent.on_server_packet(build.answer(), 1.4)
+    agent.on_heartbeat(build.heartbeat('i-1', late_born, 9), 1.5)
+    emitted = []
+    for sequence in (2, 3):
+        successor = build.heartbeat('i-2', 2000, sequence)
+        emitted += agent.on_heartbeat(successor, 0.2 + sequence)
+    assert agent.server.name == 'i-2'
+    assert not build.of_type(emitted, effects.Reset)
+    assert agent.flow_count == 1
+
+
 def test_nothing_is_offered_while_a_draining_incarnation_may_have_replaced_it():
     """Guards against new flows at a server that crashed and drains at its next start."""
     server = _living_server()
