Entries remember a drain beyond a restart of the agent

Callers would get flows at a draining server, seconds after its drain was acknowledged (DRAIN): after a planned restart of its agent, the first heartbeat is a late one that says ready, of the server itself or of an earlier incarnation.

Cause: the new process knows nothing, and entries kept only the last status of an agent.

Fix: an entry remembers which incarnation was reported to drain. Ruled out: an agent that waits for a second heartbeat after each start, which takes every server out of use for an interval at each planned restart.

--- a/src/egretjunction/decisions/relay_members.py
+++ b/src/egretjunction/decisions/relay_members.py
@@ -7,6 +7,7 @@
 
 from egretjunction import addresses
 from egretjunction.decisions import relay_absences
+from egretjunction.decisions import relay_draining
 from egretjunction.decisions import relay_eras
 from egretjunction.decisions import relay_evacuation
 from egretjunction.decisions import relay_pinging
@@ -54,6 +55,7 @@
 
     __slots__ = (
         '_absence',
+        '_draining',
         '_process_by_born',
         'address',
         'domain',
@@ -93,6 +95,7 @@
         self.used_at = -math.inf
         self.offered_flows = 0
         self.older_server_born = 0
+        self._draining = relay_draining.Draining()
         self._process_by_born: dict[int, int] = {}
         self.status = relaying.Status(relaying.State.STARTING, 0, 0, 1, 0)
 
@@ -123,6 +126,7 @@
         """Record a status that the agent sent."""
         self.status = status
         self._absence.record_status(status)
+        self._draining.record_status(status, now)
         self.offered_flows = 0
         self.last_status_at = now
         self.unanswered_since = math.inf
@@ -189,7 +193,7 @@
         """Tell whether new flows may be offered to the agent."""
         if self.is_mistaken or self.is_evacuated() or self.is_away(now):
             return False
-        if not self._has_openings(now):
+        if self._draining.is_possible(now) or not self._has_openings(now):
             return False
         return self.status.state == relaying.State.READY and not self.is_suspect(now)
 
