--- a/src/egretjunction/decisions/relay_draining.py
+++ b/src/egretjunction/decisions/relay_draining.py
@@ -25,10 +25,8 @@
             self._process = status.process
             self._ready_since = None
         elif status.state is relaying.State.READY:
-            is_other = (
-                status.process == self._process or status.server_born > self._born
-            )
-            if is_other:
+            is_same_process = status.process == self._process
+            if is_same_process or status.server_born > self._born:
                 self._born = 0
             if self._ready_since is None:
                 self._ready_since = now
