A stopping agent that is listed again still lists its stop

Cause: the store had been restored without the agent's key. The agent listed its stop, and 16 ms later listed itself again for an entry that had missed the key, without the stop.

Fix: from a planned stop on, every listing of the process names it. Ruled out: no listing during the drain, with which a stop is lost when the store is restored after it was listed.

--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -87,6 +87,8 @@
         self._listing_thread: threading.Thread | None = None
         self._stop_listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
+        # Listed from a planned stop on, also after a restore that lost the key.
+        self._stopped_process = 0
         self._last_tick_at = self._clock()
         self._loop = _loop.Loop()
         self._metrics = metrics.Metrics('agent')
@@ -184,6 +186,7 @@
             process=self._flows.process,
         )
         if leaves_flows and self._may_list:
+            self._stopped_process = self._flows.process
             self._stop_listing_thread = _process.start(self._list_stop, self._log)
 
     def _send_to_server(self, raw: bytes, token: int) -> None:
@@ -283,13 +286,13 @@
         if self._listing_thread is None or not self._listing_thread.is_alive():
             self._listing_thread = _process.start(task, self._log)
 
-    def _own_item(self, stopped_process: int = 0) -> tuple[str, bytes]:
+    def _own_item(self) -> tuple[str, bytes]:
         return listings.agent_item(
             self._settings.name,
             self._settings.service,
             self._settings.domain,
             self._settings.entries,
-            stopped_process,
+            self._stopped_process,
             self._followed_born(),
         )
 
@@ -305,7 +308,7 @@
         """List that this process ends and leaves flows to its server."""
         if self._listing_thread is not None:
             self._listing_thread.join()
-        item = self._own_item(self._flows.process)
+        item = self._own_item()
         _process.retry_until_answered(
             lambda: self._platform.store.put(*item), self._log, 'put own stop'
         )
--- a/tests/relay/test_planned_restarts.py
+++ b/tests/relay/test_planned_restarts.py
@@ -1,10 +1,13 @@
 """Open flows while their agent is restarted as planned, with real processes."""
 
+import base64
 import contextlib
 import time
 
 import pytest
 
+from egretjunction import store
+from egretjunction.relay import listings
 from tests.relay import test_daemons as daemons
 
 AWAY_SECONDS = 3.0  # twice as long as the silence after which an agent counts as dead
@@ -87,6 +90,24 @@
     _assert_flow_outlasts_absence(system)
 
 
+def test_stopping_agent_that_is_listed_again_still_lists_its_stop(running):
+    """Guards against flows that are reset by entries which start after the stop.
+
+    A restored store had lost the agent's key. Seen in the soak, seed 436.
+    """
+    system, store_state = running
+    _open_flow(system)
+    system.send(PORT, daemons.ACK, 102, 507, b'unanswered')
+    system.server_socket.recv(2048)
+    system.processes['agent'].terminate()
+    daemons._wait_until(lambda: 'event=agent_stop_listed' in system.log('agent'))
+    key = f'{listings.AGENTS_PREFIX}agent-1'
+    store_state.write({}, [key])
+    daemons._wait_until(lambda: key in store_state.item_by_key)
+    data = base64.b64decode(store_state.item_by_key[key]['value'])
+    assert listings.read_agent(store.Item(key, data, 1)).stopped_process
+
+
 def test_flow_of_a_server_that_left_is_reset_although_its_agent_was_stopped(running):
     """Guards against clients that wait for an agent that has nothing left to do."""
     system, _ = running
