--- a/src/egretjunction/decisions/relay_succession.py
+++ b/src/egretjunction/decisions/relay_succession.py
@@ -13,7 +13,8 @@
 
 # Intervals. A running server cannot miss as many in a row while its machine is up.
 SILENT_HEARTBEATS = 1.25
-# Of the interval; heartbeats that a partition held up arrive closer to each other.
+# Of the interval. Held-up heartbeats may arrive at any distance, so that repetition
+# counts only beside the silence of the followed incarnation.
 REPEATED_HEARTBEATS = 0.5
 CONFIRMING_HEARTBEATS = 2
 # More than a dead server can have left on the way: it sends one after the other, and
