The end of a mistake about the living incarnation resets no flow

Cause: whether the flows are the successor's was judged from the silence at the time of the change, not before the successor was first heard.

Fix: a successor that was followed or heard before, or within an interval after the followed one's last heartbeat, is followed without a reset. A bounce of a confirmed flow still resets all at once. Ruled out: counting heartbeats of the followed one, since two may be late.

--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -145,7 +145,7 @@
             self.ages.estimate(heartbeat, now, age_seconds)
         if previous is None:
             self.is_known_since_start = self.ages.is_younger(heartbeat.born)
-            self.succession.record_followed(now)
+            self.succession.record_followed(heartbeat.born, now)
             self._follow(heartbeat, now)
             return HeartbeatChange.CHANGED
         if is_other:
@@ -153,7 +153,7 @@
         if heartbeat.sequence <= previous.sequence:
             return HeartbeatChange.STALE
         before = (self.is_draining, self.is_gone)
-        self.succession.record_followed(now)
+        self.succession.record_followed(heartbeat.born, now)
         self.is_gone = self.is_gone and not self.succession.is_back(now)
         self._follow(heartbeat, now)
         is_changed = (self.is_draining, self.is_gone) != before
@@ -180,8 +180,7 @@
         )
         if not is_successor:
             return HeartbeatChange.REJECTED
-        is_doubtful = self.succession.is_doubtful(now) and not self.is_gone
-        is_mistake = is_doubtful or self.succession.is_past(heartbeat.born)
+        is_mistake = not self.is_gone and self.succession.is_mistake(heartbeat.born)
         self.succession.replace(previous.born, heartbeat.born, now)
         self.is_known_since_start = self.ages.is_younger(heartbeat.born)
         self.is_gone = False
--- a/src/egretjunction/decisions/relay_succession.py
+++ b/src/egretjunction/decisions/relay_succession.py
@@ -16,6 +16,8 @@
 # Of the interval. Held-up heartbeats may arrive at any distance, so that repetition
 # counts only beside the silence of the followed incarnation.
 REPEATED_HEARTBEATS = 0.5
+# Intervals. A living server is heard within as many of a held-up heartbeat of another.
+STARTING_HEARTBEATS = 1.0
 CONFIRMING_HEARTBEATS = 2
 # More than a dead server can have left on the way: it sends one after the other, and
 # waits a second for each answer.
@@ -103,8 +105,13 @@
             for born, candidate in self._candidate_by_born.items()
         )
 
-    def record_followed(self, now: float) -> None:
-        """Record a heartbeat of the followed incarnation."""
+    def record_followed(self, born: int, now: float) -> None:
+        """Record a heartbeat of the followed incarnation.
+
+        :param born: start time of the followed incarnation.
+        :param now: the time in seconds.
+        """
+        self._first_heard_by_born.setdefault(born, now)
         self._followed_count += 1
         self._followed_heard_at = now
         self._returned_at = min(self._returned_at, now)
@@ -140,20 +147,37 @@
         """
         if self.is_past(born):
             self._past_borns.remove(born)
-        if self.is_doubtful(now):
+        if self._is_doubtful(now):
             self._doubtful_born = past_born
         else:
             self._past_borns.append(past_born)
         self.followed_since = self._first_heard_by_born.get(born, now)
         self._followed_count = self._candidate_by_born[born].count - 1
-        self.record_followed(now)
+        self.record_followed(born, now)
+
+    def is_mistake(self, born: int) -> bool:
+        """Tell whether the followed incarnation had ended before its heartbeats came.
+
+        A server that starts after the end of another one is first heard after a
+        silence. One that was heard before, or right after the followed one, may have
+        been living all the time, and the flows be its own.
+
+        :param born: start time of the successor.
+        """
+        if self._has_followed_lost_flow:
+            return False
+        was_followed = self.is_past(born) or born == self._doubtful_born
+        heard_at = self._first_heard_by_born.get(born, math.inf)
+        silent_seconds = heard_at - self._followed_heard_at
+        least_seconds = STARTING_HEARTBEATS * self._heartbeat_seconds
+        return was_followed or silent_seconds < least_seconds
 
     def is_silent(self, now: float) -> bool:
         """Tell whether the followed incarnation misses a heartbeat."""
         silent_seconds = now - self._followed_heard_at
         return silent_seconds >= SILENT_HEARTBEATS * self._heartbeat_seconds
 
-    def is_doubtful(self, now: float) -> bool:
+    def _is_doubtful(self, now: float) -> bool:
         """Tell whether the only heartbeat of the followed one may have been held up."""
         has_ended = self._has_followed_lost_flow or self.is_silent(now)
         return not (has_ended or self._is_confirmed())
