One place for what an agent follows, one mode of its ages, shared test parts

- relay_succession holds the followed heartbeat, when it was heard and whether it has left, and says itself what a heartbeat changes.
Before, relay_server kept a second copy of the time and of the leave, and passed both back with each call; a replaced one was told in two places.
- relay_ages had a mode without a listing that only tests used.
The listing may now be told before or after the first heartbeat, and the agent keeps one start instead of two that a thread and a loop compared.
- The listing of a stop and of an agent are one call, since both name the stopped process. listings.lists_same_agent is gone: the agent's own item with the listed start is compared instead.
- A discard of flows had two ways to forget requests: all at once, which also forgot the outcomes of the server, and one by one, which did not.
Flows go one by one, and outcomes are always forgotten.
- Three loops over the probes are one.
- Tests: one builder for an agent that has not heard of its server, one body of a heartbeat, one call that sends it, the shared fixture.

Existing tests call forget_outcomes for clear, take the type of a change from relay_heartbeats, and build agents with the shared builder, which tells them that nothing is listed; their assertions are as they were.

--- a/src/egretjunction/decisions/load/backlog.py
+++ b/src/egretjunction/decisions/load/backlog.py
@@ -172,14 +172,8 @@
         self.abandon(key, self._last_event_at)
         self._route_by_key.pop(key, None)
 
-    def clear(self) -> None:
-        """Remove all requests and outcomes, because the server restarted."""
-        self._route_by_key.clear()
-        self._started_by_key.clear()
-        self._queued_by_key.clear()
-        self._stray_by_key.clear()
-        self._untimed_keys.clear()
-        self._failed_at_by_key.clear()
+    def forget_outcomes(self) -> None:
+        """Forget how requests have ended, because the server has."""
         self.outcomes = outcomes.Outcomes()
 
     def tick(self, now: float) -> None:
--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -167,13 +167,13 @@
         :param age_seconds: time since the server's start by the time of day.
         """
         change = self.server.record_heartbeat(heartbeat, now, age_seconds)
-        if change is relay_server.HeartbeatChange.STALE:
+        if change is relay_heartbeats.Change.STALE:
             return [
                 effects.Log(
                     'heartbeat_stale', server=heartbeat.name, born=heartbeat.born
                 )
             ]
-        if change is relay_server.HeartbeatChange.REJECTED:
+        if change is relay_heartbeats.Change.REJECTED:
             return [
                 effects.Log(
                     'heartbeat_rejected',
@@ -182,25 +182,25 @@
                     address=str(heartbeat.address),
                     born=heartbeat.born,
                     followed=self.server.name,
-                    draining=self.server.is_draining,
+                    draining=self.server.succession.is_draining,
                 )
             ]
-        return self._on_server_change(change, heartbeat, now)
+        return self._on_server_change(change, now)
 
     def _on_server_change(
         self,
-        change: relay_server.HeartbeatChange,
-        heartbeat: relay_heartbeats.Heartbeat,
+        change: relay_heartbeats.Change,
         now: float,
     ) -> list[effects.Effect]:
-        """Apply what a heartbeat of the followed incarnation has changed."""
+        """Apply what the latest heartbeat of the followed incarnation has changed."""
+        heartbeat = self.server.heartbeat
         emitted: list[effects.Effect] = []
-        if change is relay_server.HeartbeatChange.RESTARTED:
+        if change is relay_heartbeats.Change.RESTARTED:
             emitted += self._discard_all(
                 'server_restarted', now, until=self.server.succession.followed_since
             )
         self._backlog.configure(self.server.slots, self.server.cold_ms(now), now)
-        if change is not relay_server.HeartbeatChange.NOTHING:
+        if heartbeat is not None and change is not relay_heartbeats.Change.NOTHING:
             emitted.append(
                 effects.Log(
                     'server_changed',
@@ -585,10 +585,8 @@
         emitted: list[effects.Effect] = [
             effects.Log('reset_withheld', flow=key.hex(), server=self.server.name),
         ]
-        emitted += [
-            _denial_message(probe, self.status(now))
-            for probe in self._probes.pop_of(key)
-        ]
+        denied = self._probes.pop_where(lambda probe: probe.key == key)
+        emitted += [_denial_message(probe, self.status(now)) for probe in denied]
         self._remove_flow(key)
         return emitted
 
@@ -604,11 +602,10 @@
         self._remove_flow(packet.key)
         if flow.is_server_confirmed or flow.entry is None:
             reset = effects.Reset(packet.key, packet.acknowledged, 'server_lost_flow')
-            successor = self.server.record_lost_flow(now)
-            if successor is None:
+            if not self.server.record_lost_flow(now):
                 return [reset]
-            restarted = relay_server.HeartbeatChange.RESTARTED
-            return [reset, *self._on_server_change(restarted, successor, now)]
+            restarted = relay_heartbeats.Change.RESTARTED
+            return [reset, *self._on_server_change(restarted, now)]
         raw = self._codec.restore_bounced(packet.raw)
         return [effects.Send(flow.entry, relaying.Returned(raw, self.status(now)))]
 
@@ -644,16 +641,13 @@
             if flow.is_open and flow.is_proven and flow.ended_at is None
         ]
         status = self.status(now)
+        denied = self._probes.pop_where(lambda probe: probe.sent_at < until)
         emitted += [
-            _denial_message(probe, status)
-            for probe in self._probes.pop_sent_before(until)
-            if not probe.is_first
+            _denial_message(probe, status) for probe in denied if not probe.is_first
         ]
-        if len(discarded_by_key) == len(self._flow_by_key):
-            self._flow_by_key.clear()
-            self._requests.clear()
         for key in discarded_by_key:
             self._remove_flow(key)
+        self._requests.forget_outcomes()
         return emitted
 
     def _remove_expired(self, now: float) -> None:
--- a/src/egretjunction/decisions/relay_ages.py
+++ b/src/egretjunction/decisions/relay_ages.py
@@ -15,34 +15,28 @@
 class Ages:
     """Which incarnations started after this process, as far as known.
 
-    ``unsettled_born`` is the start time of an incarnation for which the agent's listing
-    is needed to tell, 0 if there is none. ``listening_since`` is the time since which
-    this process can receive heartbeats.
+    ``listening_since`` is the time since which this process can receive heartbeats.
 
     :param heartbeat_seconds: interval between heartbeats.
     :param started_at: start of this process, in the clock of all times passed in.
-    :param has_listing: whether ``settle`` will tell which incarnation an earlier
-        process has listed; until then the time of day proves nothing.
     """
 
     __slots__ = (
-        '_has_listing',
         '_heartbeat_seconds',
+        '_listed_born',
         '_started_at',
+        '_unsettled_born',
         '_younger_born',
         'listening_since',
-        'unsettled_born',
     )
 
-    def __init__(
-        self, heartbeat_seconds: float, started_at: float, *, has_listing: bool
-    ) -> None:
+    def __init__(self, heartbeat_seconds: float, started_at: float) -> None:
         self._heartbeat_seconds = heartbeat_seconds
         self._started_at = started_at
-        self._has_listing = has_listing
         self._younger_born: int | None = None
+        self._unsettled_born: int | None = None
+        self._listed_born: int | None = None
         self.listening_since = started_at
-        self.unsettled_born = 0
 
     def is_younger(self, born: int) -> bool:
         """Tell whether an incarnation is known to have started after this process."""
@@ -72,23 +66,31 @@
         is_younger = (
             heartbeat.sequence <= 1 or longest_seconds <= now - self.listening_since
         )
-        seems_younger = self._has_started_with_agent(heartbeat, now, age_seconds)
-        if is_younger or (seems_younger and not self._has_listing):
+        if is_younger:
             self._younger_born = heartbeat.born
-        elif seems_younger:
-            self.unsettled_born = heartbeat.born
+        elif self._has_started_with_agent(heartbeat, now, age_seconds):
+            self._unsettled_born = heartbeat.born
+            self._settle()
 
-    def settle(self, listed_born: int) -> None:
+    def settle(self, listed_born: int) -> bool:
         """Record which incarnation the agent's listing named at this process's start.
 
         The time of day alone does not tell a power loss from a restart of the agent
         after the clock was set back. An earlier process has listed what it followed.
 
         :param listed_born: start time of that incarnation, 0 if there is none.
+        :return: whether an incarnation's age waited for this.
         """
-        if self.unsettled_born and self.unsettled_born != listed_born:
-            self._younger_born = self.unsettled_born
-        self.unsettled_born = 0
+        self._listed_born = listed_born
+        return self._settle()
+
+    def _settle(self) -> bool:
+        if self._listed_born is None or self._unsettled_born is None:
+            return False
+        if self._unsettled_born != self._listed_born:
+            self._younger_born = self._unsettled_born
+        self._unsettled_born = None
+        return True
 
     def _has_started_with_agent(
         self, heartbeat: relay_heartbeats.Heartbeat, now: float, age_seconds: float
--- a/src/egretjunction/decisions/relay_heartbeats.py
+++ b/src/egretjunction/decisions/relay_heartbeats.py
@@ -1,8 +1,27 @@
 """Heartbeats of backend servers, as an agent reads them."""
 
+import enum
+
 from egretjunction import addresses
 
 
+class Change(enum.Enum):
+    """What a heartbeat changed in the known state of the server.
+
+    A stale heartbeat is an older one of the same incarnation. A rejected one is of
+    another service or address, or of an incarnation that does not replace the followed
+    one. A correcting one shows that an incarnation was followed by mistake, since its
+    heartbeats were held up and it had ended.
+    """
+
+    NOTHING = 'nothing'
+    STALE = 'stale'
+    REJECTED = 'rejected'
+    CORRECTED = 'corrected'
+    CHANGED = 'changed'
+    RESTARTED = 'reborn'
+
+
 class Heartbeat:
     """One heartbeat of a backend server.
 
--- a/src/egretjunction/decisions/relay_probes.py
+++ b/src/egretjunction/decisions/relay_probes.py
@@ -56,30 +56,20 @@
         """Remove and return the probe with a token, if there is one."""
         return self._probe_by_token.pop(token, None)
 
-    def pop_of(self, key: bytes) -> list[relay_flows.Probe]:
-        """Remove and return the probes of a flow."""
+    def pop_where(
+        self, is_chosen: typing.Callable[[relay_flows.Probe], bool]
+    ) -> list[relay_flows.Probe]:
+        """Remove and return the probes for which a function holds."""
         tokens = [
-            token for token, probe in self._probe_by_token.items() if probe.key == key
-        ]
-        return [self._probe_by_token.pop(token) for token in tokens]
-
-    def pop_sent_before(self, moment: float) -> list[relay_flows.Probe]:
-        """Remove and return the probes that were sent before a moment."""
-        tokens = [
-            token
-            for token, probe in self._probe_by_token.items()
-            if probe.sent_at < moment
+            token for token, probe in self._probe_by_token.items() if is_chosen(probe)
         ]
         return [self._probe_by_token.pop(token) for token in tokens]
 
     def pop_decided(self, now: float) -> list[relay_flows.Probe]:
         """Remove and return the probes whose silence need not be waited for longer."""
-        tokens = [
-            token
-            for token, probe in self._probe_by_token.items()
-            if now >= probe.expires_at and not self._is_undecided(probe, now)
-        ]
-        return [self._probe_by_token.pop(token) for token in tokens]
+        return self.pop_where(
+            lambda probe: now >= probe.expires_at and not self._is_undecided(probe, now)
+        )
 
     def repeat_early(
         self, flow_by_key: typing.Mapping[bytes, relay_flows.Flow], now: float
--- a/src/egretjunction/decisions/relay_succession.py
+++ b/src/egretjunction/decisions/relay_succession.py
@@ -51,9 +51,11 @@
 
 
 class Succession:
-    """Decides when the heartbeats of another incarnation count.
+    """Follows one incarnation, and decides when another one takes its place.
 
-    ``followed_since`` is the time of the first heartbeat of the followed incarnation.
+    ``followed`` is the latest heartbeat of the followed incarnation, None before the
+    first one, ``heard_at`` the time of that heartbeat, and ``has_left`` tells whether a
+    leave call has named the incarnation.
 
     :param heartbeat_seconds: interval between heartbeats.
     """
@@ -63,12 +65,13 @@
         '_doubtful_born',
         '_first_heard_by_born',
         '_followed_count',
-        '_followed_heard_at',
-        '_has_followed_lost_flow',
+        '_has_lost_flow',
         '_heartbeat_seconds',
         '_past_borns',
         '_returned_at',
-        'followed_since',
+        'followed',
+        'has_left',
+        'heard_at',
     )
 
     def __init__(self, heartbeat_seconds: float) -> None:
@@ -78,54 +81,102 @@
         )
         self._doubtful_born: int | None = None
         self._followed_count = 0
-        self._followed_heard_at = -math.inf
-        self._has_followed_lost_flow = False
+        self._has_lost_flow = False
         self._returned_at = math.inf
         self._candidate_by_born: dict[int, _Candidate] = {}
         self._first_heard_by_born: dict[int, float] = {}
-        self.followed_since = -math.inf
+        self.followed: relay_heartbeats.Heartbeat | None = None
+        self.heard_at = -math.inf
+        self.has_left = False
 
     @property
-    def possible_successor(self) -> relay_heartbeats.Heartbeat | None:
-        """Return a heartbeat of the likeliest incarnation that was not followed yet."""
-        candidates = [
-            candidate
-            for born, candidate in self._candidate_by_born.items()
-            if not self.is_past(born)
-        ]
-        if not candidates:
-            return None
-        return max(candidates, key=_likelihood).heartbeat
+    def is_draining(self) -> bool:
+        """Tell whether the server accepts no new flows, as far as known.
+
+        A heartbeat that may be of the living server counts as well, since a flow that a
+        draining server takes is worse than one that waits.
+        """
+        heartbeats = [candidate.heartbeat for candidate in self._new_candidates()]
+        if self.followed is not None:
+            heartbeats.append(self.followed)
+        return any(heartbeat.is_draining for heartbeat in heartbeats)
 
     @property
-    def has_draining_candidate(self) -> bool:
-        """Tell whether an incarnation that may be the living one drains."""
-        return any(
-            candidate.heartbeat.is_draining and not self.is_past(born)
-            for born, candidate in self._candidate_by_born.items()
-        )
+    def followed_since(self) -> float:
+        """Return when the first heartbeat of the followed incarnation arrived."""
+        born = self.followed.born if self.followed else None
+        return self._first_heard_by_born.get(born, self.heard_at)
+
+    def record(
+        self, heartbeat: relay_heartbeats.Heartbeat, now: float
+    ) -> relay_heartbeats.Change:
+        """Record a heartbeat unless it is stale or rejected; return what it changed."""
+        followed = self.followed
+        if followed is None:
+            self._follow(heartbeat, now)
+            return relay_heartbeats.Change.CHANGED
+        if heartbeat.born != followed.born:
+            candidate = self._record_candidate(heartbeat, now)
+            if self._is_successor(candidate, followed.born, now):
+                return self._replace(candidate, followed.born, now)
+            return relay_heartbeats.Change.REJECTED
+        if heartbeat.sequence <= followed.sequence:
+            return relay_heartbeats.Change.STALE
+        before = (self.is_draining, self.has_left)
+        self._follow(heartbeat, now)
+        if (self.is_draining, self.has_left) != before:
+            return relay_heartbeats.Change.CHANGED
+        return relay_heartbeats.Change.NOTHING
+
+    def record_leave(self) -> None:
+        """Record that a leave call has named the followed incarnation."""
+        self.has_left = True
+        self._returned_at = math.inf
+
+    def record_lost_flow(self, now: float) -> bool:
+        """Record that the server does not hold a flow that it had confirmed.
 
-    def record_followed(self, born: int, now: float) -> None:
-        """Record a heartbeat of the followed incarnation.
+        A server loses its flows when it starts again. If a newer incarnation has sent a
+        heartbeat meanwhile, it is followed from now on.
 
-        :param born: start time of the followed incarnation.
         :param now: the time in seconds.
+        :return: whether another incarnation is followed now.
         """
-        self._first_heard_by_born.setdefault(born, now)
+        candidates = self._new_candidates()
+        if self.followed is None or not candidates:
+            return False
+        self._has_lost_flow = True
+        likeliest = max(candidates, key=_likelihood)
+        is_replaced = self._is_successor(likeliest, self.followed.born, now)
+        if is_replaced:
+            self._replace(likeliest, self.followed.born, now)
+        return is_replaced
+
+    def discount_pause(self, seconds: float) -> None:
+        """Exclude a pause of this process from the silence of the server."""
+        self.heard_at += seconds
+        for candidate in self._candidate_by_born.values():
+            candidate.since += seconds
+        for born in self._first_heard_by_born:
+            self._first_heard_by_born[born] += seconds
+        self._returned_at += seconds
+
+    def _follow(self, heartbeat: relay_heartbeats.Heartbeat, now: float) -> None:
+        """Record a heartbeat of the followed incarnation."""
+        self.followed = heartbeat
+        self.heard_at = now
+        self._first_heard_by_born.setdefault(heartbeat.born, now)
         self._followed_count += 1
-        self._followed_heard_at = now
         self._returned_at = min(self._returned_at, now)
+        if self.has_left:
+            self.has_left = not self._is_back(now)
         if self._doubtful_born is not None and self._is_confirmed():
             self._past_borns.append(self._doubtful_born)
             self._doubtful_born = None
-        self._has_followed_lost_flow = False
+        self._has_lost_flow = False
         self._candidate_by_born.clear()
 
-    def record_leave(self) -> None:
-        """Record that a leave call has named the followed incarnation."""
-        self._returned_at = math.inf
-
-    def is_back(self, now: float) -> bool:
+    def _is_back(self, now: float) -> bool:
         """Tell whether the followed incarnation goes on after a leave call.
 
         The call may be a late one of an earlier incarnation of the same name; one
@@ -134,28 +185,31 @@
         back_seconds = now - self._returned_at
         return back_seconds >= REPEATED_HEARTBEATS * self._heartbeat_seconds
 
-    def record_lost_flow(self) -> None:
-        """Record that the server does not hold a flow that it had confirmed."""
-        self._has_followed_lost_flow = self.possible_successor is not None
-
-    def replace(self, past_born: int, born: int, now: float) -> None:
-        """Follow an incarnation that has been found to be the successor.
+    def _replace(
+        self, successor: _Candidate, past_born: int, now: float
+    ) -> relay_heartbeats.Change:
+        """Follow another incarnation; return whether it has started since.
 
+        :param successor: the incarnation to follow.
         :param past_born: start time of the incarnation that it replaces.
-        :param born: its start time.
         :param now: the time in seconds.
         """
-        if self.is_past(born):
+        born = successor.heartbeat.born
+        is_mistake = self._is_mistake(born)
+        if self._is_past(born):
             self._past_borns.remove(born)
-        if self._is_doubtful(now):
-            self._doubtful_born = past_born
-        else:
+        if self._has_ended(now) or self._is_confirmed():
             self._past_borns.append(past_born)
-        self.followed_since = self._first_heard_by_born.get(born, now)
-        self._followed_count = self._candidate_by_born[born].count - 1
-        self.record_followed(born, now)
-
-    def is_mistake(self, born: int) -> bool:
+        else:
+            self._doubtful_born = past_born
+        self.has_left = False
+        self._followed_count = successor.count - 1
+        self._follow(successor.heartbeat, now)
+        if is_mistake:
+            return relay_heartbeats.Change.CORRECTED
+        return relay_heartbeats.Change.RESTARTED
+
+    def _is_mistake(self, born: int) -> bool:
         """Tell whether the followed incarnation had ended before its heartbeats came.
 
         A server that starts after the end of another one is first heard after a
@@ -164,80 +218,54 @@
 
         :param born: start time of the successor.
         """
-        if self._has_followed_lost_flow:
+        if self.has_left or self._has_lost_flow:
             return False
-        was_followed = self.is_past(born) or born == self._doubtful_born
+        was_followed = self._is_past(born) or born == self._doubtful_born
         heard_at = self._first_heard_by_born.get(born, math.inf)
-        silent_seconds = heard_at - self._followed_heard_at
         least_seconds = STARTING_HEARTBEATS * self._heartbeat_seconds
-        return was_followed or silent_seconds < least_seconds
-
-    def is_silent(self, now: float) -> bool:
-        """Tell whether the followed incarnation misses a heartbeat."""
-        silent_seconds = now - self._followed_heard_at
-        return silent_seconds >= SILENT_HEARTBEATS * self._heartbeat_seconds
+        return was_followed or heard_at - self.heard_at < least_seconds
 
-    def _is_doubtful(self, now: float) -> bool:
-        """Tell whether the only heartbeat of the followed one may have been held up."""
-        has_ended = self._has_followed_lost_flow or self.is_silent(now)
-        return not (has_ended or self._is_confirmed())
-
-    def discount_pause(self, seconds: float) -> None:
-        """Exclude a pause of this process from the silence of the server."""
-        self._followed_heard_at += seconds
-        for candidate in self._candidate_by_born.values():
-            candidate.since += seconds
-        for born in self._first_heard_by_born:
-            self._first_heard_by_born[born] += seconds
-        self._returned_at += seconds
-        self.followed_since += seconds
-
-    def is_successor(
-        self,
-        heartbeat: relay_heartbeats.Heartbeat,
-        followed_born: int,
-        now: float,
-        *,
-        has_left: bool,
+    def _is_successor(
+        self, candidate: _Candidate, followed_born: int, now: float
     ) -> bool:
-        """Tell whether a heartbeat is of an incarnation that replaces the followed one.
+        """Tell whether another incarnation replaces the followed one.
 
         A lower start time is that of an older incarnation whose heartbeat was held up,
         or that of a newer one after the clock was set back. Only a living server
-        repeats it.
-
-        :param heartbeat: a heartbeat of another incarnation.
-        :param followed_born: start time of the followed incarnation.
-        :param now: the time in seconds.
-        :param has_left: whether the followed incarnation has announced its end.
+        repeats it. One that was replaced by mistake has to go on for longer.
         """
-        candidate = self._record_candidate(heartbeat, now)
-        if self.is_past(heartbeat.born):
-            return self._is_returning(candidate, now)
-        has_ended = has_left or self._has_followed_lost_flow or self.is_silent(now)
-        if heartbeat.born > followed_born:
-            return has_ended or not self._is_confirmed()
         repeat_seconds = REPEATED_HEARTBEATS * self._heartbeat_seconds
-        return has_ended and candidate.lasts(2, repeat_seconds, now)
-
-    def is_past(self, born: int) -> bool:
-        """Tell whether an incarnation was followed once and then replaced."""
-        return born in self._past_borns
-
-    def _is_returning(self, candidate: _Candidate, now: float) -> bool:
-        """Tell whether a replaced incarnation lives, and the one that replaced it not.
+        if self._is_past(candidate.heartbeat.born):
+            return self._is_silent(now) and candidate.lasts(
+                RETURNING_HEARTBEATS, RETURNING_HEARTBEATS * repeat_seconds, now
+            )
+        if candidate.heartbeat.born > followed_born:
+            return self._has_ended(now) or not self._is_confirmed()
+        return self._has_ended(now) and candidate.lasts(2, repeat_seconds, now)
+
+    def _is_silent(self, now: float) -> bool:
+        """Tell whether the followed incarnation misses a heartbeat."""
+        silent_seconds = now - self.heard_at
+        return silent_seconds >= SILENT_HEARTBEATS * self._heartbeat_seconds
 
-        Held-up heartbeats of an ended one may have replaced it by mistake.
-        """
-        least_seconds = (
-            RETURNING_HEARTBEATS * REPEATED_HEARTBEATS * self._heartbeat_seconds
-        )
-        is_lasting = candidate.lasts(RETURNING_HEARTBEATS, least_seconds, now)
-        return is_lasting and self.is_silent(now)
+    def _has_ended(self, now: float) -> bool:
+        return self.has_left or self._has_lost_flow or self._is_silent(now)
 
     def _is_confirmed(self) -> bool:
         return self._followed_count >= CONFIRMING_HEARTBEATS
 
+    def _is_past(self, born: int) -> bool:
+        """Tell whether an incarnation was followed once and then replaced."""
+        return born in self._past_borns
+
+    def _new_candidates(self) -> list[_Candidate]:
+        """Return the other incarnations that were not followed yet."""
+        return [
+            candidate
+            for born, candidate in self._candidate_by_born.items()
+            if not self._is_past(born)
+        ]
+
     def _record_candidate(
         self, heartbeat: relay_heartbeats.Heartbeat, now: float
     ) -> _Candidate:
--- a/src/egretjunction/decisions/relay_work.py
+++ b/src/egretjunction/decisions/relay_work.py
@@ -147,14 +147,9 @@
         self._data_end_by_key.pop(key, None)
         self._timeout_by_key.pop(key, None)
 
-    def clear(self) -> None:
-        """Remove the records of all flows."""
-        self._expiry_by_key.clear()
-        self._expiry_queue.clear()
-        self._reserved_since_by_key.clear()
-        self._data_end_by_key.clear()
-        self._timeout_by_key.clear()
-        self._backlog.clear()
+    def forget_outcomes(self) -> None:
+        """Forget how requests have ended, because the server has."""
+        self._backlog.forget_outcomes()
 
     def wait_ms(self, now: float) -> int:
         """Return the expected time until a new request starts, or ``NO_ESTIMATE``."""
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -62,7 +62,6 @@
             agent_settings.heartbeat_ms / relay_server.MILLISECONDS_PER_SECOND,
             started_at,
             agent_settings.backend,
-            has_listing=True,
         )
         self._announcer = relay_announcing.Announcer(
             agent_settings.name, agent_settings.domain
@@ -83,7 +82,6 @@
         )
         self._may_list = False
         self._listed_born: int | None = None
-        self._predecessor_born: int | None = None
         self._listing_thread: threading.Thread | None = None
         self._stop_listing_thread: threading.Thread | None = None
         self._draining_since: float | None = None
@@ -271,8 +269,7 @@
 
     def _list_server(self) -> None:
         """List which incarnation of the server is followed, once it is another one."""
-        self._settle_start()
-        is_listed = self._listed_born in (None, self._server.born)
+        is_listed = self._listed_born in (None, self._followed_born())
         if not is_listed and self._draining_since is None:
             self._start_listing(self._put_listing)
 
@@ -286,19 +283,23 @@
         if self._listing_thread is None or not self._listing_thread.is_alive():
             self._listing_thread = _process.start(task, self._log)
 
-    def _own_item(self) -> tuple[str, bytes]:
+    def _own_item(self, server_born: int | None = None) -> tuple[str, bytes]:
+        """Return the key and the value that list this agent.
+
+        :param server_born: start of the server; None for that of the followed one.
+        """
         return listings.agent_item(
             self._settings.name,
             self._settings.service,
             self._settings.domain,
             self._settings.entries,
             self._stopped_process,
-            self._followed_born(),
+            self._followed_born() if server_born is None else server_born,
         )
 
     def _followed_born(self) -> int:
         """Return the start of the server that this or an earlier process follows."""
-        return self._server.born or self._predecessor_born or 0
+        return self._server.born or self._listed_born or 0
 
     def _is_listing_stop(self) -> bool:
         thread = self._stop_listing_thread
@@ -308,11 +309,7 @@
         """List that this process ends and leaves flows to its server."""
         if self._listing_thread is not None:
             self._listing_thread.join()
-        item = self._own_item()
-        _process.retry_until_answered(
-            lambda: self._platform.store.put(*item), self._log, 'put own stop'
-        )
-        self._log('agent_stop_listed', key=item[0])
+        self._put_listing()
 
     def _check_listing(self) -> None:
         """List this agent again if the store has lost its key; make one attempt."""
@@ -327,35 +324,34 @@
 
     def _ensure_listed(self) -> None:
         listed_data = self._announce_to_entries()
-        if self._predecessor_born is None:
-            self._predecessor_born = listings.read_server_born(listed_data)
-            self._loop.post(self._settle_start)
-        born = self._followed_born()
-        _, data = self._own_item()
-        if listed_data == data:
-            self._listed_born = born
+        listed_born = listings.read_server_born(listed_data)
+        if self._listed_born is None:
+            self._loop.post(lambda: self._settle_start(listed_born))
+        self._listed_born = listed_born
+        if listed_data == self._own_item()[1]:
             return
+        is_known = listed_data == self._own_item(listed_born)[1]
         self._put_listing()
         # Entries that were listed since the first listing may have missed this agent.
-        if not listings.lists_same_agent(listed_data, data):
+        if not is_known:
             self._announce_to_entries()
 
     def _put_listing(self) -> None:
         born = self._followed_born()
-        key, data = self._own_item()
+        key, data = self._own_item(born)
+        event = 'agent_stop_listed' if self._stopped_process else 'agent_listed'
         _process.retry_until_answered(
             lambda: self._platform.store.put(key, data), self._log, 'put own listing'
         )
         self._listed_born = born
-        self._log('agent_listed', key=key, born=born)
+        self._log(event, key=key, born=born)
 
-    def _settle_start(self) -> None:
+    def _settle_start(self, listed_born: int) -> None:
         """Use the listing of an earlier process to tell how old the server is."""
-        if self._predecessor_born is not None and self._server.ages.unsettled_born:
-            self._server.settle_start(self._predecessor_born)
+        if self._server.settle_start(listed_born):
             self._log(
                 'server_start_settled',
-                listed=self._predecessor_born,
+                listed=listed_born,
                 born=self._server.born,
                 known_since_start=self._server.is_known_since_start,
             )
--- a/src/egretjunction/relay/listings.py
+++ b/src/egretjunction/relay/listings.py
@@ -114,17 +114,6 @@
         return 0
 
 
-def lists_same_agent(listed: bytes, other: bytes) -> bool:
-    """Tell whether two values list the same agent, whatever server it follows."""
-    try:
-        listing = _decoding.decode_json(listed, _AgentListing)
-        other_listing = _decoding.decode_json(other, _AgentListing)
-    except msgspec.DecodeError:
-        return False
-    listing.server_born = other_listing.server_born
-    return listing == other_listing
-
-
 def read_entry(item: store.Item) -> Peer | None:
     """Return the entry that an item lists, None when it lists no entry."""
     if not item.key.startswith(ENTRIES_PREFIX):
--- a/tests/decisions/load/test_backlog.py
+++ b/tests/decisions/load/test_backlog.py
@@ -166,7 +166,7 @@
 def test_slowdown_of_a_cold_server_is_learned_apart_from_durations():
     estimated, now = _train()
     for restart in range(3):
-        estimated.clear()
+        estimated.forget_outcomes()
         estimated.configure(1, 2000, now)
         for number in range(20):
             _serve(estimated, _key(1000 * (restart + 1) + number), now, now + 0.08)
--- a/tests/decisions/test_relay_absences.py
+++ b/tests/decisions/test_relay_absences.py
@@ -1,9 +1,7 @@
 """Agents that are away for a planned restart, as an entry sees them."""
 
-from egretjunction.decisions import relay_agent
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
-from egretjunction.decisions import relay_server
 from egretjunction.wire import relaying
 from tests import relay_builders as build
 
@@ -172,12 +170,7 @@
 
 
 def test_agent_that_has_not_heard_of_its_server_yet_says_that_it_leaves_flows():
-    agent = relay_agent.AgentFlows(
-        relay_server.Server(build.SERVICE, 1.0),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-    )
+    agent = build.unheard_agent()
     agent.begin_shutdown(0.5)
     assert agent.status(0.5).leaves_flows
 
--- a/tests/decisions/test_relay_agent.py
+++ b/tests/decisions/test_relay_agent.py
@@ -158,24 +158,14 @@
     During a release, an agent can start before its server. Seen on sylfaen-edge
     quiet-1.
     """
-    agent = build.relay_agent.AgentFlows(
-        build.relay_server.Server(build.SERVICE, 1.0),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-    )
+    agent = build.unheard_agent()
     agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
     assert not build.sent_messages(agent.tick(0.2), relaying.Held)
 
 
 def test_silence_before_the_servers_start_adopts_no_flow():
     """Guards against flows of another server that a later start seems to confirm."""
-    agent = build.relay_agent.AgentFlows(
-        build.relay_server.Server(build.SERVICE, 1.0),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-    )
+    agent = build.unheard_agent()
     agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
     agent.on_heartbeat(build.heartbeat(), 0.6)
     emitted = agent.tick(0.625)
@@ -191,12 +181,7 @@
 
 def test_flow_of_a_living_server_is_adopted_after_the_agent_heard_of_it():
     """Guards against probes that are never decided."""
-    agent = build.relay_agent.AgentFlows(
-        build.relay_server.Server(build.SERVICE, 1.0),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-    )
+    agent = build.unheard_agent()
     agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, 0)
     agent.on_heartbeat(build.heartbeat(sequence=30), 0.6)
     assert build.of_type(agent.tick(0.625), effects.ToServer)
@@ -208,13 +193,7 @@
 
 def _start_process(process):
     """Return an agent that takes itself for as old as its server, born at 1000."""
-    agent = build.relay_agent.AgentFlows(
-        build.relay_server.Server(build.SERVICE, 1.0),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-        process=process,
-    )
+    agent = build.unheard_agent(process=process)
     agent.on_heartbeat(build.heartbeat(sequence=4, cold_ms=1500), 0.1, 0.05)
     return agent
 
@@ -246,13 +225,7 @@
     """Guards against denied flows after a heartbeat of a dead server that was late."""
     entry = build.entry('m-1')
     _exchange_ping(entry, _start_process(1), 0.2)
-    restarted = build.relay_agent.AgentFlows(
-        build.relay_server.Server(build.SERVICE, 1.0),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-        process=2,
-    )
+    restarted = build.unheard_agent(process=2)
     restarted.on_heartbeat(build.heartbeat('i-0', born=500, sequence=9), 0.1)
     _exchange_ping(entry, restarted, 0.1)
     restarted.on_heartbeat(build.heartbeat(sequence=1), 0.3)
@@ -346,15 +319,6 @@
 POWERED_UP_AT = 10.0
 
 
-def _agent_started_at(started_at):
-    return build.relay_agent.AgentFlows(
-        build.relay_server.Server(build.SERVICE, 1.0, started_at),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-    )
-
-
 @pytest.mark.parametrize(
     ('age_seconds', 'cold_ms', 'is_known'),
     [
@@ -374,7 +338,7 @@
     Server and agent start together, and the agent misses the first heartbeats. An
     agent that is restarted beside a living server must still probe it.
     """
-    agent = _agent_started_at(POWERED_UP_AT)
+    agent = build.unheard_agent(POWERED_UP_AT)
     now = POWERED_UP_AT + 0.2
     agent.on_heartbeat(build.heartbeat(sequence=4, cold_ms=cold_ms), now, age_seconds)
     assert agent.status(now).knows_all_flows == is_known
@@ -386,7 +350,7 @@
     A server left just before a power loss; its agent starts again without it and
     neither confirmed nor denied any flow.
     """
-    agent = _agent_started_at(POWERED_UP_AT)
+    agent = build.unheard_agent(POWERED_UP_AT)
     ask = relaying.Ask(5, build.request().raw)
     agent.on_message(ask, build.ENTRY, POWERED_UP_AT + 0.2)
     assert not build.sent_messages(agent.tick(POWERED_UP_AT + 1.2), relaying.NotHeld)
@@ -403,7 +367,7 @@
     After a power loss, agents whose servers had left were stopped within 0.3 s; every
     search then waited until they counted as dead.
     """
-    agent = _agent_started_at(POWERED_UP_AT)
+    agent = build.unheard_agent(POWERED_UP_AT)
     agent.begin_shutdown(POWERED_UP_AT + 0.3)
     assert not relay_agent.can_stop(agent, POWERED_UP_AT + 0.5)
     ask = relaying.Ask(5, build.request().raw)
@@ -416,7 +380,7 @@
 
 @pytest.mark.parametrize('is_heard', [True, False])
 def test_agent_whose_server_was_heard_or_never_probed_denies_nothing(is_heard):
-    agent = _agent_started_at(POWERED_UP_AT)
+    agent = build.unheard_agent(POWERED_UP_AT)
     now = POWERED_UP_AT + 5
     if is_heard:
         agent.on_message(relaying.Ask(5, build.request().raw), build.ENTRY, now - 1)
@@ -425,7 +389,7 @@
 
 
 def test_pause_of_the_agent_does_not_make_its_server_absent():
-    agent = _agent_started_at(POWERED_UP_AT)
+    agent = build.unheard_agent(POWERED_UP_AT)
     agent.on_message(
         relaying.Ask(5, build.request().raw), build.ENTRY, POWERED_UP_AT + 0.1
     )
--- a/tests/decisions/test_relay_machine.py
+++ b/tests/decisions/test_relay_machine.py
@@ -10,10 +10,8 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from egretjunction.decisions import relay_agent
 from egretjunction.decisions import relay_effects as effects
 from egretjunction.decisions import relay_members
-from egretjunction.decisions import relay_server
 from tests import relay_builders as build
 
 AGENTS = ('m-1', 'm-2', 'm-3')
@@ -102,13 +100,7 @@
         self.server_by_name[name] = Server(self.born)
 
     def _start_agent(self, name, dead_born=None):
-        server = relay_server.Server(build.SERVICE, 1.0)
-        self.agent_by_name[name] = relay_agent.AgentFlows(
-            server,
-            build.Codec(),
-            build.MAX_FLOW_SECONDS,
-            build.announcer(),
-        )
+        self.agent_by_name[name] = build.unheard_agent()
         if dead_born is None:
             self._send_heartbeat(name)
         else:
--- a/tests/decisions/test_relay_server.py
+++ b/tests/decisions/test_relay_server.py
@@ -3,12 +3,13 @@
 import pytest
 
 from egretjunction import addresses
+from egretjunction.decisions import relay_heartbeats
 from egretjunction.decisions import relay_server
 from egretjunction.wire import relaying
 from tests import relay_builders as build
 
 INTERVAL_SECONDS = 1.0
-CHANGE = relay_server.HeartbeatChange
+CHANGE = relay_heartbeats.Change
 
 
 def _server():
@@ -116,9 +117,13 @@
     listed_born, is_known
 ):
     """Guards against denied flows after a clock step and the end of all daemons."""
-    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS, has_listing=True)
     cold = build.heartbeat('i-1', 5000, 4, cold_ms=1500)
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS)
     server.record_heartbeat(cold, 0.2, 0.1)
     assert not server.is_known_since_start
-    server.settle_start(listed_born)
+    assert server.settle_start(listed_born)
+    assert server.is_known_since_start == is_known
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS)
+    assert not server.settle_start(listed_born)
+    server.record_heartbeat(cold, 0.2, 0.1)
     assert server.is_known_since_start == is_known
--- a/tests/decisions/test_relay_succession.py
+++ b/tests/decisions/test_relay_succession.py
@@ -3,12 +3,13 @@
 import pytest
 
 from egretjunction.decisions import relay_effects as effects
+from egretjunction.decisions import relay_heartbeats
 from egretjunction.decisions import relay_server
 from egretjunction.wire import relaying
 from tests import relay_builders as build
 
 INTERVAL_SECONDS = 1.0
-CHANGE = relay_server.HeartbeatChange
+CHANGE = relay_heartbeats.Change
 
 
 def _living_server(**fields):
@@ -194,12 +195,7 @@
     Before or right after the living server's first heartbeat, one or two of a dead
     incarnation arrive. Seen in the soak, seed 456.
     """
-    agent = build.relay_agent.AgentFlows(
-        relay_server.Server(build.SERVICE, INTERVAL_SECONDS),
-        build.Codec(),
-        build.MAX_FLOW_SECONDS,
-        build.announcer(),
-    )
+    agent = build.unheard_agent()
     agent.on_server_packet(build.answer(), 0.1)
     living = [(0.5 + beat, 2000, 30 + beat) for beat in range(8)]
     late = [(moment, dead_born, 8 + int(moment * 10)) for moment in moments]
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -72,6 +72,11 @@
             self.changed.notify_all()
         return self.revision
 
+    def data_of(self, key):
+        """Return the value of a key, empty if there is none."""
+        item = self.item_by_key.get(key)
+        return base64.b64decode(item['value']) if item else b''
+
     def silence_connections(self, *, answers_probes=False):
         """Never use the connections that are open now again; new ones work.
 
--- a/tests/relay/serving.py
+++ b/tests/relay/serving.py
@@ -1,7 +1,5 @@
 """A small system of relay processes, with servers and clients in the test process."""
 
-import contextlib
-import http.client
 import os
 import random
 import time
@@ -110,13 +108,4 @@
         self._heartbeats += 1
         for number in self.server_by_number:
             host = self.agent_by_number[number].host
-            connection = http.client.HTTPConnection(
-                host, soaking.ANNOUNCEMENTS, timeout=0.1
-            )
-            with (
-                contextlib.closing(connection),
-                contextlib.suppress(OSError, http.client.HTTPException),
-            ):
-                body = soaking.heartbeat(self._heartbeats, host)
-                connection.request('PUT', '/instances/i-1', body)
-                connection.getresponse().read()
+            soaking.announce(host, timeout=0.1, sequence=self._heartbeats)
--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -23,6 +23,7 @@
 from tests.relay import soak_evacuation
 from tests.relay import soak_timing
 from tests.relay import soak_traffic
+from tests.relay import test_daemons as daemons
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 SERVICE = 'soaked'
@@ -36,26 +37,20 @@
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
 
-def heartbeat(sequence, host, **fields):
-    """Return the body of a heartbeat of the backend server at a host.
+def announce(host, name='i-1', timeout=0.3, **fields):
+    """Send a heartbeat of the server beside an agent, which may be down.
 
-    :param fields: fields that differ; those that are None are left out.
+    :param host: host of the agent and the server.
+    :param name: name of the server.
+    :param timeout: how long to wait for an answer, in seconds.
+    :param fields: fields of the heartbeat that differ.
+    :return: the response status, None without an answer.
     """
-    body = {'service': SERVICE, 'capacity': 50, 'state': 'ready'}
-    body |= {'address': f'{host}:{BACKEND}', 'zone': 'a', 'version': 'v1'}
-    body |= {'cold_remaining_ms': 0, 'born': 1000, 'sequence': sequence} | fields
-    return json.dumps({name: body[name] for name in body if body[name] is not None})
-
-
-def _announce(host, name, body):
-    """Send a heartbeat to an agent, which may be down."""
-    connection = http.client.HTTPConnection(host, ANNOUNCEMENTS, timeout=0.3)
-    with (
-        contextlib.closing(connection),
-        contextlib.suppress(OSError, http.client.HTTPException),
-    ):
-        connection.request('PUT', f'/instances/{name}', body)
-        connection.getresponse().read()
+    own = {'service': SERVICE, 'address': f'{host}:{BACKEND}', 'capacity': 50}
+    body = daemons.heartbeat(**{**own, **fields})
+    path = f'/instances/{name}'
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        return daemons.put(host, ANNOUNCEMENTS, path, body, timeout)
 
 
 class Process:
@@ -361,7 +356,7 @@
         while not self._is_over.wait(0.4):
             sequence += 1
             for agent in self.agents:
-                _announce(agent.host, 'i-1', heartbeat(sequence, agent.host))
+                announce(agent.host, sequence=sequence)
                 if self._heartbeat_draw.random() < FOREIGN_HEARTBEATS:
                     self._announce_other(agent.host)
 
@@ -373,8 +368,8 @@
         }
         if self._heartbeat_draw.random() < 0.3:
             fields['address'] = self._heartbeat_draw.choice((None, '127.0.0.1:9'))
-        sequence = self._heartbeat_draw.randint(2, 60)
-        _announce(host, 'i-0', heartbeat(sequence, host, **fields))
+        fields['sequence'] = self._heartbeat_draw.randint(2, 60)
+        announce(host, 'i-0', **fields)
 
     def _check_readiness(self):
         while not self._is_over.wait(0.2):
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -102,28 +102,19 @@
             response = connection.getresponse()
             return response.status, response.read()
 
-    def heartbeat(self):
-        """Return the body of a heartbeat of the backend server, without a number."""
+    def heartbeat(self, **fields):
+        """Return the body of a heartbeat of the backend server."""
         address = '{}:{}'.format(*self.server_socket.getsockname())
-        body = {'service': SERVICE, 'address': address, 'zone': 'a', 'version': 'v1'}
-        return body | {
-            'capacity': 2,
-            'state': 'ready',
-            'cold_remaining_ms': 0,
-            'born': 1000,
-        }
+        return heartbeat(**{'address': address, **fields})
 
     def announce(self, sequence, state='ready', **fields):
         """Send a heartbeat of the backend server; return the response status."""
-        body = {**self.heartbeat(), 'state': state}
-        connection = http.client.HTTPConnection(AGENT_HOST, self.http + 1, timeout=1)
-        with contextlib.closing(connection):
-            connection.request(
-                'PUT',
-                '/instances/i-1',
-                json.dumps({**body, 'sequence': sequence, **fields}),
-            )
-            return connection.getresponse().status
+        fields |= {'sequence': sequence, 'state': state}
+        return self.put_heartbeat('i-1', self.heartbeat(**fields))
+
+    def put_heartbeat(self, name, body):
+        """Send the body of a heartbeat to the agent; return the response status."""
+        return put(AGENT_HOST, self.http + 1, f'/instances/{name}', body)
 
     def leave(self):
         """Send the backend server's leave call; return the response status."""
@@ -203,9 +194,21 @@
     )
 
 
-def put(host, port, path, body):
+def heartbeat(**fields):
+    """Return the body of a heartbeat of a backend server.
+
+    :param fields: its address, and the fields that differ; those that are None are
+        left out.
+    """
+    body = {'service': SERVICE, 'zone': 'a', 'version': 'v1', 'capacity': 2}
+    body |= {'state': 'ready', 'cold_remaining_ms': 0, 'born': 1000, 'sequence': 1}
+    body |= fields
+    return json.dumps({name: body[name] for name in body if body[name] is not None})
+
+
+def put(host, port, path, body, timeout=1):
     """Return the status of a PUT request."""
-    connection = http.client.HTTPConnection(host, port, timeout=1)
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
     with contextlib.closing(connection):
         connection.request('PUT', path, body)
         return connection.getresponse().status
--- a/tests/relay/test_late_heartbeats.py
+++ b/tests/relay/test_late_heartbeats.py
@@ -11,11 +11,7 @@
 FROZEN_SECONDS = 0.9  # nearly two intervals; calls wait for 1 s
 PING_SECONDS = 0.6
 
-
-@pytest.fixture
-def running(tmp_path):
-    with daemons.running_system(tmp_path) as system_and_store:
-        yield system_and_store
+running = daemons.running
 
 
 def test_late_heartbeat_read_first_after_a_freeze_replaces_no_living_server(running):
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -166,33 +166,28 @@
     """Guards against an agent that ends at, or believes, an absurd heartbeat."""
     system, _ = running
     for sequence, fields in enumerate(ODD_HEARTBEATS, 10):
-        body = json.dumps({**system.heartbeat(), 'sequence': sequence, **fields})
-        path = '/instances/i-1'
-        daemons.put(daemons.AGENT_HOST, system.http + 1, path, body)
+        body = system.heartbeat(**{'sequence': sequence, **fields})
+        system.put_heartbeat('i-1', body)
         time.sleep(PING_SECONDS)
         _assert_serving(system, sequence + 1)
         assert json.loads(system.get('agent', '/status')[1])['state'] == 'ready'
 
 
 @pytest.mark.parametrize(
-    ('odd_fields', 'left_out'),
+    'odd_fields',
     [
-        ({}, ('address', 'zone', 'version')),
-        ({}, ('address',)),
-        ({'address': '127.0.10.3:9'}, ()),
+        {'address': None, 'zone': None, 'version': None},
+        {'address': None},
+        {'address': '127.0.10.3:9'},
     ],
     ids=str,
 )
-def test_heartbeat_of_another_writer_displaces_no_living_server(
-    running, odd_fields, left_out
-):
+def test_heartbeat_of_another_writer_displaces_no_living_server(running, odd_fields):
     """Guards against flows that are reset, and a drain undone, by one odd heartbeat."""
     system, _ = running
     assert system.announce(10, 'draining') == 200
-    odd = {**system.heartbeat(), 'born': 2000, 'sequence': 1, **odd_fields}
-    body = json.dumps({name: odd[name] for name in odd if name not in left_out})
-    path = '/instances/i-2'
-    assert daemons.put(daemons.AGENT_HOST, system.http + 1, path, body) >= 400
+    odd = system.heartbeat(born=2000, **odd_fields)
+    assert system.put_heartbeat('i-2', odd) >= 400
     assert json.loads(system.get('agent', '/status')[1])['state'] == 'draining'
     assert system.announce(11, 'draining') == 200
 
@@ -200,10 +195,7 @@
 def test_unreadable_heartbeats_are_answered_with_an_error(running):
     system, _ = running
     for body in (b'{"extra":' + NESTED + b'}', NESTED, b'\xff', b'{}', b''):
-        status = daemons.put(
-            daemons.AGENT_HOST, system.http + 1, '/instances/i-1', body
-        )
-        assert status == 400
+        assert system.put_heartbeat('i-1', body) == 400
     _assert_serving(system, 10)
 
 
--- a/tests/relay/test_planned_restarts.py
+++ b/tests/relay/test_planned_restarts.py
@@ -1,11 +1,8 @@
 """Open flows while their agent is restarted as planned, with real processes."""
 
-import base64
 import contextlib
 import time
 
-import pytest
-
 from egretjunction import store
 from egretjunction.relay import listings
 from tests.relay import test_daemons as daemons
@@ -15,11 +12,7 @@
 ANSWER_SECONDS = 4.0
 PORT = 4100
 
-
-@pytest.fixture
-def running(tmp_path):
-    with daemons.running_system(tmp_path) as system_and_store:
-        yield system_and_store
+running = daemons.running
 
 
 def _open_flow(system):
@@ -104,7 +97,7 @@
     key = f'{listings.AGENTS_PREFIX}agent-1'
     store_state.write({}, [key])
     daemons._wait_until(lambda: key in store_state.item_by_key)
-    data = base64.b64decode(store_state.item_by_key[key]['value'])
+    data = store_state.data_of(key)
     assert listings.read_agent(store.Item(key, data, 1)).stopped_process
 
 
--- a/tests/relay/test_server_ages.py
+++ b/tests/relay/test_server_ages.py
@@ -1,6 +1,5 @@
 """What a restarted agent knows of its server's start, with real processes."""
 
-import base64
 import re
 import time
 
@@ -36,8 +35,7 @@
 
 def _listed_born(store_state):
     """Return the start of the server that the store lists for the agent."""
-    item = store_state.item_by_key.get(KEY)
-    return listings.read_server_born(base64.b64decode(item['value'])) if item else 0
+    return listings.read_server_born(store_state.data_of(KEY))
 
 
 def _settled(system):
--- a/tests/relay/test_silent_watches.py
+++ b/tests/relay/test_silent_watches.py
@@ -59,13 +59,7 @@
 
 def _announce_server(agent):
     """Send the first heartbeat of a backend server, at which its agent lists itself."""
-    body = soaking.heartbeat(1, agent.host)
-    daemons._wait_until(
-        lambda: (
-            daemons.put(agent.host, soaking.ANNOUNCEMENTS, '/instances/i-1', body)
-            == 200
-        )
-    )
+    daemons._wait_until(lambda: soaking.announce(agent.host) == 200)
 
 
 def _await_version(entries, version, seconds):
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -138,6 +138,22 @@
     return relay_announcing.Announcer('m-1', 'a')
 
 
+def unheard_agent(started_at=0, process=0, **limits):
+    """Return the flows of an agent that has not heard of its server.
+
+    No earlier process of the agent has listed a server.
+
+    :param started_at: start of the agent's process.
+    :param limits: ``over`` and ``slack`` of a limit for the cold server.
+    """
+    server = relay_server.Server(SERVICE, 1.0, started_at)
+    server.settle_start(0)
+    limit = relay_cold.ColdLimit(server.is_cold, **limits)
+    return relay_agent.AgentFlows(
+        server, Codec(), MAX_FLOW_SECONDS, announcer(), limit, process
+    )
+
+
 def agent(is_known_since_start=True, slots=2, cold_ms=0, **limits):
     """Return the flows of an agent that has received a heartbeat of its server.
 
@@ -145,11 +161,7 @@
     :param cold_ms: how long the server is cold.
     :param limits: ``over`` and ``slack`` of a limit for the cold server.
     """
-    server = relay_server.Server(SERVICE, 1.0)
-    limit = relay_cold.ColdLimit(server.is_cold, **limits)
-    flows = relay_agent.AgentFlows(
-        server, Codec(), MAX_FLOW_SECONDS, announcer(), limit
-    )
+    flows = unheard_agent(**limits)
     flows.on_heartbeat(
         heartbeat(
             sequence=1 if is_known_since_start else 9, slots=slots, cold_ms=cold_ms
