The stand-in of the clock step sends as many heartbeats as a server would

test_agent_restarted_after_its_clock_went_back_... failed once beside other load: the agent took its server for younger. Traced: the test sent the second heartbeat 3 s after the first, at an interval of 0.5 s. A server calls at least every 1.5 s (its interval, and a second for an answer), so that two heartbeats bound its age by 3.0 s, and the agent had listened for 2.9 to 3.0 s. The heartbeat is the seventh now, as a server's would be; the assertion is unchanged.

--- a/tests/relay/test_server_ages.py
+++ b/tests/relay/test_server_ages.py
@@ -9,6 +9,7 @@
 from tests.relay import test_daemons as daemons
 
 AHEAD_SECONDS = 3.0  # longer than an agent takes to start
+AHEAD_HEARTBEATS = 7  # that a server sends in this time, every 0.5 s
 COLD_MS = 60_000
 LISTING_SECONDS = 0.5
 KEY = f'{listings.AGENTS_PREFIX}agent-1'
@@ -54,7 +55,8 @@
     daemons._wait_until(lambda: _listed_born(store_state) == born)
     _restart_after_a_kill(system)
     time.sleep(max(0, ahead_at + 0.05 - time.time()))
-    assert system.announce(2, born=born, cold_remaining_ms=COLD_MS) == 200
+    sequence = AHEAD_HEARTBEATS
+    assert system.announce(sequence, born=born, cold_remaining_ms=COLD_MS) == 200
     assert not _settled(system)
 
 
