What the agent's listing says counts against every claim to be older

Callers would see flows of an undisturbed server reset: after a restart of its agent, the first heartbeat is the server's number 1, which was held up, and the agent takes itself for as old as the server and denies its flows, until an entry that was up before corrects it.

Cause: the listing that names the server an earlier process followed was compared only with what the time of day claims, not with what the number of a heartbeat claims.

Fix: an incarnation that the listing names is never younger than the process, whatever else says so; the claim is taken back by the same call as for an entry's hint. Ruled out: no claim from number 1, with which agents probe for every flow after each start of a server.

Evidence: both cases of the new test failed before.

--- a/src/egretjunction/decisions/relay_ages.py
+++ b/src/egretjunction/decisions/relay_ages.py
@@ -60,6 +60,8 @@
         :param now: the time in seconds.
         :param age_seconds: time since the server's start by the time of day.
         """
+        if self._listed_born and heartbeat.born == self._listed_born:
+            return
         longest_seconds = heartbeat.sequence * (
             self._heartbeat_seconds + ANSWER_SECONDS
         )
@@ -82,6 +84,8 @@
         :return: whether an incarnation's age waited for this.
         """
         self._listed_born = listed_born
+        if listed_born and self._younger_born == listed_born:
+            self._younger_born = None
         return self._settle()
 
     def _settle(self) -> bool:
--- a/src/egretjunction/decisions/relay_server.py
+++ b/src/egretjunction/decisions/relay_server.py
@@ -126,9 +126,10 @@
         :return: whether this was needed to tell how old the server is.
         """
         is_settled = self.ages.settle(listed_born)
+        is_older = self.record_predecessor(listed_born)
         if self.heartbeat is not None and self.ages.is_younger(self.born):
             self.is_known_since_start = True
-        return is_settled
+        return is_settled or is_older
 
     def _take_over(self, heartbeat: relay_heartbeats.Heartbeat, now: float) -> None:
         """Take over what a heartbeat of the followed incarnation says."""
--- a/tests/decisions/test_relay_server.py
+++ b/tests/decisions/test_relay_server.py
@@ -110,6 +110,26 @@
     assert server.is_absent(12.1)
 
 
+@pytest.mark.parametrize('is_listing_read_first', [True, False])
+def test_late_first_heartbeat_of_a_listed_server_does_not_make_it_young(
+    is_listing_read_first,
+):
+    """Guards against denied flows after a restart of the agent.
+
+    The first heartbeat that the new process gets is the server's number 1, which was
+    held up; an earlier process has followed and listed the server.
+    """
+    server = relay_server.Server(build.SERVICE, INTERVAL_SECONDS)
+    late = build.heartbeat('i-1', 5000, 1)
+    if is_listing_read_first:
+        server.settle_start(5000)
+        server.record_heartbeat(late, 0.2)
+    else:
+        server.record_heartbeat(late, 0.2)
+        assert server.settle_start(5000)
+    assert not server.is_known_since_start
+
+
 @pytest.mark.parametrize(
     ('listed_born', 'is_known'), [(5000, False), (4000, True), (0, True)]
 )
