Review: a heartbeat without born has a restarted agent deny its server's flows

Agents are restarted as planned while another writer repeats one heartbeat without born at the interval of heartbeats.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -143,6 +143,14 @@
         self.system.note('kill', process=self.name, removed=is_removed)
         self.popen.kill()
 
+    async def wait_until_up(self):
+        """Wait until the process answers."""
+        deadline = time.monotonic() + 10
+        while await ends.call(self.ready, 'GET', '/readiness') is None:
+            if time.monotonic() > deadline:
+                raise CannotRunError(f'{self.name} does not start')
+            await asyncio.sleep(0.05)
+
     async def probe(self):
         """Ask whether it is ready, as the platform does."""
         if await ends.call(self.ready, 'GET', '/readiness', timeout_s=PROBE_S) == 200:
@@ -221,22 +229,34 @@
         await entry.start()
         return entry
 
-    async def add_server(self, name, zone, service, **options):
-        """Start an agent and the server beside it."""
+    async def add_server(self, name, zone, service, *, agent_first=False, **options):
+        """Start an agent and the server beside it.
+
+        :param agent_first: whether the server starts when the agent is up.
+        """
         host = self.address(100 + len(self.agents))
         place = {
             key: (host, self.ports[key]) for key in ('app', 'outbound', 'control')
         }
         fields = {'service': service, 'app': '%s:%d' % place['app']}
         agent = Daemon(self, 'agent', f'side-{name}', zone, host, fields)
-        server = ends.Server(name, place, service, zone, **options)
         self.agents.append(agent)
+        if agent_first:
+            await agent.start()
+            await agent.wait_until_up()
+        server = ends.Server(name, place, service, zone, **options)
         self.servers.append(server)
-        await agent.start()
+        if not agent_first:
+            await agent.start()
         return agent, server
 
     def choose_entry(self, flow):
-        """Return where the routers send a packet: by hash over those in rotation."""
+        """Return where the routers send a flow's packet."""
+        entry = self.entry_of(flow)
+        return entry and entry.datagrams
+
+    def entry_of(self, flow):
+        """Return the entry that gets a flow's packets: by hash over those in rotation."""
         alive = [entry for entry in self.entries if not entry.is_removed]
         members = [entry for entry in alive if entry.is_in_rotation]
         if 2 * len(members) < len(alive):
@@ -244,7 +264,7 @@
         if not members:
             return None
         point = zlib.crc32(repr((flow.address, flow.route)).encode())
-        return members[point % len(members)].datagrams
+        return members[point % len(members)]
 
     async def _check_readiness(self):
         while True:
@@ -263,6 +283,13 @@
         )
         await self.wait_for(lambda: entry.is_in_rotation, 15, 'readiness')
 
+    def holder(self, flow):
+        """Return the name of the server at which a client's flow is open, if any."""
+        for server in self.servers:
+            if server.holds(flow.address, flow.route):
+                return server.name
+        return None
+
     async def wait_for(self, condition, timeout_s, what):
         """Wait until a condition holds."""
         deadline = time.monotonic() + timeout_s
--- a/review/standins-3/ends.py
+++ b/review/standins-3/ends.py
@@ -199,6 +199,8 @@
     def close(self):
         """End without a notice."""
         self._beats.cancel()
+        for held in self._flows.values():
+            self._end(held)
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
 
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -9,7 +9,8 @@
 class Store:
     """Items, their history, and an HTTP server of its own.
 
-    ``refused_hosts`` holds machines that get 503 instead of an answer.
+    ``refused_hosts`` holds machines that get 503 instead of an answer. ``silent`` holds
+    open connections on which nothing is answered any more.
     """
 
     def __init__(self, address):
@@ -18,6 +19,8 @@
         self.item_by_key = {}
         self.events = []
         self.refused_hosts = set()
+        self.silent = set()
+        self._open = set()
         self.calls = 0
         self._changed = asyncio.Condition()
 
@@ -25,6 +28,11 @@
         """Listen for calls."""
         self._server = await asyncio.start_server(self._serve, *self.address)
 
+    def silence_connections(self):
+        """Never use the connections that are open now again; new ones work."""
+        self.silent |= self._open
+        return len(self._open)
+
     async def put(self, key, value):
         """Write an item; the return is its acknowledgement."""
         async with self._changed:
@@ -53,6 +61,7 @@
                 self._changed.notify_all()
 
     async def _serve(self, reader, writer):
+        self._open.add(writer)
         try:
             head = (await reader.readuntil(b'\r\n\r\n')).decode()
             method, target, _ = head.split('\r\n', 1)[0].split(' ')
@@ -66,6 +75,9 @@
             else:
                 code, answer = await self._answer(method, target, body)
             raw = json.dumps(answer).encode()
+            if writer in self.silent:
+                await reader.read()  # until the other end gives up
+                return
             writer.write(
                 b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
                 b'Content-Length: %d\r\nConnection: close\r\n\r\n' % (code, len(raw))
@@ -75,6 +87,8 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
+            self._open.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
     async def _answer(self, method, target, body):
--- a/review/standins-3/traffic.py
+++ b/review/standins-3/traffic.py
@@ -36,7 +36,7 @@
 
     def holders(self):
         """Return the names of the servers that hold the flows."""
-        return {self._holder(flow) for flow in self._flows} - {None}
+        return {self._system.holder(flow) for flow in self._flows} - {None}
 
     def stop(self):
         """Send no more requests."""
@@ -48,10 +48,10 @@
         while flow.reset_at is None:
             request += 1
             request_id = f'{number}-{request}'
-            holder = self._holder(flow)
+            holder = self._system.holder(flow)
             body = await flow.request(request_id, DEADLINE_S)
             if flow.reset_at is not None:
-                self._record_reset(flow, request_id, self._holder(flow) or holder)
+                self._record_reset(flow, request_id, self._system.holder(flow) or holder)
                 return
             self.answered += body is not None
             self.unanswered += body is None
@@ -60,12 +60,6 @@
             )
             await asyncio.sleep(self._every_s)
 
-    def _holder(self, flow):
-        for server in self._system.servers:
-            if server.holds(flow.address, flow.route):
-                return server.name
-        return None
-
     def _record_reset(self, flow, request_id, holder):
         self._system.note(
             'reset',
