Review: a script that cannot run exits with 2 and ends all that it started

An unexpected exception exited with 1, which means that the rule was broken; a daemon whose restart was pending could be started while the script ended.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -22,6 +22,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 RESTART_S = 0.3
 PROBE_S = 0.5
+LONGEST_S = 110  # a script may run for 120 s
 BOUNDS = {
     'stable_window_ms': 4000,
     'drain_ms': 3000,
@@ -110,6 +111,9 @@
             self.popen = await asyncio.create_subprocess_exec(
                 *self._command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        if self.system.is_over:
+            self.popen.kill()
+            return
         self.system.note('start', process=self.name)
         asyncio.create_task(self._await_end(self.popen))
 
@@ -121,7 +125,8 @@
         self.system.note('end', process=self.name, code=code, by_itself=is_own)
         if not self.is_removed and not self.system.is_over:
             await asyncio.sleep(RESTART_S)
-            await self.start()
+            if not self.system.is_over:
+                await self.start()
 
     async def stop(self):
         """Stop the process as the platform does: SIGTERM, later SIGKILL."""
@@ -334,10 +339,14 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run():
-        system = System(record_path)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
+        system = None
         try:
+            system = System(record_path)
             await system.start()
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(LONGEST_S):
                 violations = await play(system, has_trouble)
             for violation in violations:
                 system.note('violation', what=violation)
@@ -345,10 +354,12 @@
                 raise CannotRunError('a packet that its sender did not write so')
             system.note('result', trouble=has_trouble, broken=bool(violations))
             return 1 if violations else 0
-        except (CannotRunError, TimeoutError) as error:
-            system.note('cannot run', why=repr(error))
+        except (Exception, asyncio.CancelledError) as error:  # no verdict
+            if system is not None:
+                system.note('cannot run', why=repr(error))
             return 2
         finally:
-            await system.close()
+            if system is not None:
+                await system.close()
 
     sys.exit(asyncio.run(run()))
