Resets of flows that nobody holds say how many agents denied and were not asked

A reset of review/11 could not be told from one after a wrong denial or an incomplete listing: the log line had the flow and the reason only.

--- a/src/egretjunction/decisions/relay_candidates.py
+++ b/src/egretjunction/decisions/relay_candidates.py
@@ -34,6 +34,7 @@
         self._retired = 0
         self._slot_count = 0
         self._mask_by_service: dict[str, int] = {}
+        self._all = 0
         self._near = 0
         self._dead = 0
         self._unidentified: list[relay_members.Member] = []
@@ -57,6 +58,11 @@
             mask |= self._mask_by_service.get(service, 0)
         return mask & ~self._dead
 
+    def all_holders(self) -> int:
+        """Return the members of all services that may hold flows."""
+        self._refresh()
+        return self._all & ~self._dead
+
     def members_in(
         self, mask: int, limit: int | None = None
     ) -> list[relay_members.Member]:
@@ -110,6 +116,7 @@
             return
         for service, mask in self._mask_by_service.items():
             self._mask_by_service[service] = mask & ~(1 << slot)
+        self._all &= ~(1 << slot)
         self._near &= ~(1 << slot)
         self._retire(slot)
         self._recycle()
@@ -124,6 +131,7 @@
             self._retire(self._slot_by_member.pop(gone))
         self._recycle()
         self._mask_by_service = {}
+        self._all = 0
         self._near = 0
         self._unidentified = []
         for member in self._members.member_by_name.values():
@@ -137,6 +145,7 @@
             self._slot_by_member[member] = slot
             self._member_by_slot[slot] = member
         bit = 1 << slot
+        self._all |= bit
         of_service = self._mask_by_service.get(member.service, 0)
         self._mask_by_service[member.service] = of_service | bit
         if self._members.is_near(member):
--- a/src/egretjunction/decisions/relay_searching.py
+++ b/src/egretjunction/decisions/relay_searching.py
@@ -206,7 +206,7 @@
         candidates = self._candidates.serving(search.services) & ~search.record.denied
         if not candidates and self._is_view_complete(now):
             self._end(token, search)
-            return [effects.reset_of(search.queue[-1], 'nobody_holds_it')]
+            return [self._reset(search)]
         if now - search.started_at > MAX_SEARCH_SECONDS:
             self._end(token, search)
             return [self._failure_event(search, candidates, now)]
@@ -221,6 +221,19 @@
             self._add_question(token, search, member)
         return self._send_due_questions(now)
 
+    def _reset(self, search: relay_pending.Search) -> effects.Reset:
+        """Return the reset of a flow, with how many agents denied it or were not asked.
+
+        An agent that was not asked may hold the flow.
+        """
+        holders = self._candidates.all_holders()
+        return effects.reset_of(
+            search.queue[-1],
+            'nobody_holds_it',
+            denied=search.record.denied.bit_count(),
+            unasked=(holders & ~search.record.denied).bit_count(),
+        )
+
     def _failure_event(
         self, search: relay_pending.Search, candidates: int, now: float
     ) -> effects.Log:
