A flow is reset only after agents of all services have denied it

Cause: a search asked only the agents of services that this process had seen on the route. A process that starts after the change cannot know the others from the configuration in force. Ruled out: a wrong denial, a missing listing.

Fix: the route's services say who is asked first; the agents of the others follow once these have denied, or after 0.25 s. The same cause had an entry reset flows of a version that it had not adopted yet.

--- a/src/egretjunction/decisions/relay_pending.py
+++ b/src/egretjunction/decisions/relay_pending.py
@@ -142,7 +142,8 @@
 
     :param packet: the client's packet that started the search.
     :param record: the members that have denied the flow.
-    :param services: services whose members may hold the flow.
+    :param services: services that the route is known to have had; their members are
+        asked first.
     :param now: the time in seconds.
     """
 
--- a/src/egretjunction/decisions/relay_routes.py
+++ b/src/egretjunction/decisions/relay_routes.py
@@ -176,7 +176,10 @@
         return self._table.route_by_address.get(address)
 
     def known_services(self, address: addresses.Address) -> list[str]:
-        """Return all services that any adopted version listed for an address."""
+        """Return all services that any adopted version listed for an address.
+
+        Versions before the start of this process may have listed others.
+        """
         return self._services_by_address.get(address, [])
 
 
--- a/src/egretjunction/decisions/relay_searching.py
+++ b/src/egretjunction/decisions/relay_searching.py
@@ -12,6 +12,8 @@
 
 SEARCH_ROUND_SECONDS = 0.08  # an agent's probe of its server, plus a round trip
 MAX_SEARCH_SECONDS = 1.0
+# A search whose agents have not all answered by then asks those of other services too.
+WIDENING_SECONDS = relay_members.SUSPECT_AFTER_SECONDS
 LISTING_SECONDS = 0.02  # the store answers within a few milliseconds
 MAX_NAMED_MEMBERS = 3  # in a log line
 MAX_MEMBERS_PER_ROUND = 64  # agents asked at once in a search
@@ -203,24 +205,38 @@
         entries of the domain. That nobody holds a flow is known only once all members
         of a complete view have denied it.
         """
-        candidates = self._candidates.serving(search.services) & ~search.record.denied
-        if not candidates and self._is_view_complete(now):
+        holders = self._candidates.all_holders() & ~search.record.denied
+        if not holders and self._is_view_complete(now):
             self._end(token, search)
             return [self._reset(search)]
         if now - search.started_at > MAX_SEARCH_SECONDS:
             self._end(token, search)
-            return [self._failure_event(search, candidates, now)]
-        if not candidates:
+            return [self._failure_event(search, holders, now)]
+        if not holders:
             search.due_at = now + LISTING_SECONDS
             return []
         search.due_at = now + SEARCH_ROUND_SECONDS
-        unasked = candidates & ~search.asked
+        unasked = self._likely(search, holders, now) & ~search.asked
         chosen = unasked & self._candidates.near() or unasked
         for member in self._candidates.members_in(chosen, MAX_MEMBERS_PER_ROUND):
             search.asked |= self._candidates.bit_of(member)
             self._add_question(token, search, member)
         return self._send_due_questions(now)
 
+    def _likely(self, search: relay_pending.Search, holders: int, now: float) -> int:
+        """Return the members to ask now: first those of the route's known services.
+
+        Another service may hold the flow: its weight was removed before this process
+        started, or other entries follow a version that this one has not adopted.
+
+        :param search: the search.
+        :param holders: the members that have not denied the flow.
+        :param now: the time in seconds.
+        """
+        expected = self._candidates.serving(search.services) & holders
+        is_wide = not expected or now - search.started_at >= WIDENING_SECONDS
+        return holders if is_wide else expected
+
     def _reset(self, search: relay_pending.Search) -> effects.Reset:
         """Return the reset of a flow, with how many agents denied it or were not asked.
 
