A request that offers another protocol is served without the offer

Cause: httptools raises HttpParserUpgrade for these, which is no HttpParserError, and the server caught only the latter. Ruled out: the body (the same one without the offer gets 400).

Fix: the offer is left out and the request is parsed again. Catching the exception alone would not have served the call: the parser does not read the body of such a request.

--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -7,6 +7,7 @@
 import httptools
 
 from egretjunction import addresses
+from egretjunction.relay import _http_requests
 from egretjunction.relay import _loop
 
 OK = 200
@@ -14,7 +15,6 @@
 NOT_FOUND = 404
 CONFLICT = 409
 UNAVAILABLE = 503
-MAX_BODY_BYTES = 65_536  # a heartbeat has a few hundred bytes
 MAX_CONNECTIONS = 128
 BACKLOG = 128
 READ_BYTES = 65_536
@@ -29,22 +29,8 @@
 )
 
 
-class Request:
-    """One HTTP request.
-
-    :param path: request target without its query.
-    """
-
-    __slots__ = ('body', 'method', 'path')
-
-    def __init__(self, method: str, path: str, body: bytes) -> None:
-        self.method = method
-        self.path = path
-        self.body = body
-
-
 Response = tuple[int, bytes]
-Handler = typing.Callable[[Request], Response]
+Handler = typing.Callable[[_http_requests.Request], Response]
 
 
 class Server:
@@ -112,28 +98,18 @@
 
 
 class _Connection:
-    """One client connection, the request that is being parsed, and unsent data.
+    """One client connection and unsent data.
 
     Nothing more is read while a response is not sent completely, so that a client
     that does not read holds at most one response in memory.
     """
 
-    __slots__ = (
-        '_body',
-        '_handler',
-        '_is_open',
-        '_parser',
-        '_socket',
-        '_target',
-        '_unsent',
-    )
+    __slots__ = ('_handler', '_is_open', '_reader', '_socket', '_unsent')
 
     def __init__(self, client_socket: socket.socket, handler: Handler) -> None:
         self._socket = client_socket
         self._handler = handler
-        self._parser = httptools.HttpRequestParser(self)
-        self._target = b''
-        self._body = b''
+        self._reader = _http_requests.Reader(self._respond)
         self._is_open = True
         self._unsent = memoryview(b'')
 
@@ -153,7 +129,7 @@
 
     def _read(self) -> bool:
         received = self._socket.recv(READ_BYTES)
-        self._parser.feed_data(received)
+        self._reader.feed(received)
         return bool(received) and self._send()
 
     def _send(self) -> bool:
@@ -163,24 +139,9 @@
             self._unsent = self._unsent[sent_bytes:]
         return self._is_open or self.has_unsent
 
-    def on_url(self, target: bytes) -> None:
-        """Append a part of the request target; called by the parser."""
-        self._target += target
-
-    def on_body(self, chunk: bytes) -> None:
-        """Append a part of the body; called by the parser."""
-        self._body += chunk
-        if len(self._body) > MAX_BODY_BYTES:
-            raise ValueError(f'request body exceeds {MAX_BODY_BYTES} bytes')
-
-    def on_message_complete(self) -> None:
-        """Handle the request and send the response; called by the parser."""
-        path = self._target.decode('ascii', 'replace').partition('?')[0]
-        method = self._parser.get_method().decode('ascii', 'replace')
-        code, body = self._handler(Request(method, path, self._body))
-        self._target = b''
-        self._body = b''
-        self._is_open = self._parser.should_keep_alive()
+    def _respond(self, request: _http_requests.Request) -> None:
+        code, body = self._handler(request)
+        self._is_open = request.keeps_open
         head = (
             f'HTTP/1.1 {code} {_REASON_BY_CODE[code]}\r\n'
             f'Content-Length: {len(body)}\r\n'
@@ -193,7 +154,7 @@
 def readiness_handler(path: str, is_ready: typing.Callable[[], bool]) -> Handler:
     """Return a handler that serves a readiness check at a path."""
 
-    def handle(request: Request) -> Response:
+    def handle(request: _http_requests.Request) -> Response:
         if request.path != path:
             return NOT_FOUND, b'{}'
         return (OK if is_ready() else UNAVAILABLE), b'{}'
@@ -209,7 +170,7 @@
     :param render_by_path: returns the body of a page, by path.
     """
 
-    def handle(request: Request) -> Response:
+    def handle(request: _http_requests.Request) -> Response:
         render = render_by_path.get(request.path)
         return (OK, render()) if render is not None else (NOT_FOUND, b'{}')
 
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -15,6 +15,7 @@
 from egretjunction.decisions import relay_cold
 from egretjunction.decisions import relay_server
 from egretjunction.relay import _http
+from egretjunction.relay import _http_requests
 from egretjunction.relay import _loop
 from egretjunction.relay import _process
 from egretjunction.relay import adapter
@@ -212,7 +213,7 @@
         self._executor.apply(self._flows.on_server_packet(packet, self._clock()))
         self._list_once_server_is_seen()
 
-    def _on_announcement(self, request: _http.Request) -> _http.Response:
+    def _on_announcement(self, request: _http_requests.Request) -> _http.Response:
         try:
             announcement = self._platform.read_announcement(
                 request.method, request.path, request.body
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -1,6 +1,8 @@
 """HTTP server of the relay daemons."""
 
+import contextlib
 import http.client
+import random
 import socket
 import threading
 
@@ -8,6 +10,7 @@
 
 from egretjunction import addresses
 from egretjunction.relay import _http
+from egretjunction.relay import _http_requests
 from egretjunction.relay import _loop
 
 
@@ -37,7 +40,7 @@
 
 def test_oversized_body_closes_the_connection(address):
     client = http.client.HTTPConnection(*address, timeout=2)
-    body = b'x' * (_http.MAX_BODY_BYTES * 8)
+    body = b'x' * (_http_requests.MAX_BODY_BYTES * 8)
     with pytest.raises(OSError):
         _put(client, body)
     client.close()
@@ -58,6 +61,92 @@
     client.close()
 
 
+OFFER = (
+    b'Connection: Upgrade, HTTP2-Settings\r\n'
+    b'Upgrade: h2c\r\n'
+    b'HTTP2-Settings: AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA\r\n'
+)
+WEB_SOCKET_OFFER = b'connection: keep-alive, upgrade\r\nUPGRADE: websocket\r\n'
+BODY_BY_FRAMING = {
+    b'Content-Length: 5\r\n\r\n': b'hello',
+    b'Transfer-Encoding: chunked\r\n\r\n': b'5\r\nhello\r\n0\r\n\r\n',
+}
+
+
+@pytest.mark.parametrize('offer', [OFFER, WEB_SOCKET_OFFER])
+@pytest.mark.parametrize('framing', BODY_BY_FRAMING)
+@pytest.mark.parametrize('step', [1, 7, 4096])
+def test_request_that_offers_another_protocol_is_served_without_it(
+    address, offer, framing, step
+):
+    """Guards against a daemon that ends at an offer to upgrade to HTTP/2.
+
+    The parser raises an exception of its own for such a request, and does not read its
+    body.
+    """
+    head = b'PUT /a HTTP/1.1\r\nHost: x\r\n' + offer + framing
+    sent = (head + BODY_BY_FRAMING[framing]) * 2 + b'GET /b HTTP/1.1\r\n\r\n'
+    with socket.create_connection(address, 2) as connection:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for start in range(0, len(sent), step):
+            connection.sendall(sent[start : start + step])
+        responses = _read_until(connection, b'GET /b 0')
+    assert responses.count(b'200 OK') == 3
+    assert responses.count(b'PUT /a 5') == 2
+
+
+def _read_until(connection, end):
+    received = b''
+    while not received.endswith(end):
+        chunk = connection.recv(65536)
+        assert chunk, received
+        received += chunk
+    return received
+
+
+def test_request_for_a_tunnel_is_answered_and_its_connection_closed(address):
+    """Guards against a daemon that ends at a CONNECT request."""
+    with socket.create_connection(address, 2) as connection:
+        connection.sendall(b'CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\nbytes of a tunnel')
+        assert _read_until(connection, b'CONNECT a:1 0').startswith(b'HTTP/1.1 200')
+        assert connection.recv(100) == b''
+
+
+def test_random_bytes_do_not_end_the_server(address):
+    """Guards against bytes that raise anything but what the server expects."""
+    randomness = random.Random(56)
+    tokens = [
+        b'GET ',
+        b'PUT /a',
+        b' HTTP/1.1',
+        b'\r\n',
+        b'\r\n\r\n',
+        OFFER,
+        b'CONNECT a:1',
+        b'PRI * HTTP/2.0',
+        b'Content-Length: 5',
+        b'Transfer-Encoding: chunked',
+        b'Expect: 100-continue',
+        b'\x00\xff',
+        b'5\r\nhello',
+        b'0',
+        b'Host: x',
+        b'\x16\x03',
+    ]
+    for _ in range(300):
+        sent = b''.join(randomness.choices(tokens, k=randomness.randint(1, 12)))
+        with socket.create_connection(address, 2) as connection:
+            connection.sendall(sent)
+            connection.shutdown(socket.SHUT_WR)
+            with contextlib.suppress(ConnectionResetError):
+                while connection.recv(65536):
+                    continue
+    client = http.client.HTTPConnection(*address, timeout=2)
+    client.request('GET', '/a')
+    assert client.getresponse().status == 200
+    client.close()
+
+
 def test_idle_connections_do_not_block_new_ones(address):
     idle_connections = [
         socket.create_connection(address, 2) for _ in range(_http.MAX_CONNECTIONS + 5)
