A request whose head does not end is given up

What a caller could cause: the head of one request, or the extension of a chunk, fills the memory of a daemon, since httptools keeps the bytes of a field until it ends and nothing bounded them; a process over its memory limit is killed.

Fix: after 64 KiB without a complete head or a part of a body the connection is closed, as for a body over its limit. Evidence: of the four forms of the test, three failed before (50 MB were accepted), all hold now; the fourth, an endless target, timed out before while copying.

--- a/src/egretjunction/relay/_http_requests.py
+++ b/src/egretjunction/relay/_http_requests.py
@@ -5,6 +5,8 @@
 import httptools
 
 MAX_BODY_BYTES = 65_536  # a heartbeat has a few hundred bytes
+# Without a complete head or a part of a body; httptools keeps such bytes in memory.
+MAX_UNFINISHED_BYTES = 65_536
 _CONNECT = b'CONNECT'
 
 
@@ -41,10 +43,12 @@
         '_on_request',
         '_parser',
         '_target',
+        '_unfinished_bytes',
     )
 
     def __init__(self, on_request: typing.Callable[[Request], None]) -> None:
         self._on_request = on_request
+        self._unfinished_bytes = 0
         self._begin_with_new_parser()
 
     def feed(self, received: bytes) -> None:
@@ -53,6 +57,7 @@
         :raises httptools.HttpParserError: when they are no HTTP request, or one that
             is too large.
         """
+        self._unfinished_bytes += len(received)
         while received:
             try:
                 self._parser.feed_data(received)
@@ -64,6 +69,8 @@
                 self._begin_with_new_parser()
             else:
                 received = b''
+        if self._unfinished_bytes > MAX_UNFINISHED_BYTES:
+            raise httptools.HttpParserError('the head of a request is too large')
 
     def on_url(self, target: bytes) -> None:
         """Append a part of the request target."""
@@ -74,8 +81,13 @@
         if name.lower() != b'upgrade':
             self._field_lines.append(b'%b: %b\r\n' % (name, value))
 
+    def on_headers_complete(self) -> None:
+        """Record that the head is complete."""
+        self._unfinished_bytes = 0
+
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body."""
+        self._unfinished_bytes = 0
         self._body += chunk
         if len(self._body) > MAX_BODY_BYTES:
             raise ValueError(f'request body exceeds {MAX_BODY_BYTES} bytes')
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -112,6 +112,23 @@
         assert connection.recv(100) == b''
 
 
+@pytest.mark.parametrize(
+    ('beginning', 'part'),
+    [
+        (b'GET /', b'x' * 1000),
+        (b'GET / HTTP/1.1\r\n', b'X-A: b\r\n' * 100),
+        (b'GET / HTTP/1.1\r\nX-A: ', b'y' * 1000),
+        (b'PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=', b'z' * 1000),
+    ],
+)
+def test_request_whose_head_does_not_end_is_given_up(address, beginning, part):
+    """Guards against a head that fills the memory of a daemon."""
+    with socket.create_connection(address, 2) as connection:
+        connection.sendall(beginning)
+        with pytest.raises(OSError):
+            connection.sendall(part * 50_000)
+
+
 def test_random_bytes_do_not_end_the_server(address):
     """Guards against bytes that raise anything but what the server expects."""
     randomness = random.Random(56)
