A request whose handler fails is logged and answered with 500

What a caller saw: an exception in the handling of a request closed its connection without an answer and without a log line, since the handler ran in a callback of the parser, whose errors counted as malformed requests. No input is known that raises one; the test uses a handler that does. It failed before (connection closed).

--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -14,6 +14,7 @@
 BAD_REQUEST = 400
 NOT_FOUND = 404
 CONFLICT = 409
+INTERNAL_ERROR = 500
 UNAVAILABLE = 503
 MAX_CONNECTIONS = 128
 BACKLOG = 128
@@ -24,6 +25,7 @@
         BAD_REQUEST: 'Bad Request',
         NOT_FOUND: 'Not Found',
         CONFLICT: 'Conflict',
+        INTERNAL_ERROR: 'Internal Server Error',
         UNAVAILABLE: 'Service Unavailable',
     },
 )
@@ -39,6 +41,7 @@
     :param address: address to listen at.
     :param handler: returns the status code and the body of the response.
     :param loop: event loop of the process.
+    :param log: writes one event.
     """
 
     __slots__ = ('_connection_by_socket', '_handler', '_listener', '_loop')
@@ -48,8 +51,9 @@
         address: addresses.Address,
         handler: Handler,
         loop: _loop.Loop,
+        log: typing.Callable[..., None],
     ) -> None:
-        self._handler = handler
+        self._handler = _with_logged_errors(handler, log)
         self._loop = loop
         self._connection_by_socket: dict[socket.socket, _Connection] = {}
         self._listener = socket.create_server(address, backlog=BACKLOG)
@@ -151,6 +155,24 @@
         self._unsent = memoryview(response)  # its slices are not copies
 
 
+def _with_logged_errors(handler: Handler, log: typing.Callable[..., None]) -> Handler:
+    """Return a handler that answers with an error status where another one fails."""
+
+    def handle(request: _http_requests.Request) -> Response:
+        try:
+            return handler(request)
+        except Exception as error:  # one request must not end the process
+            log(
+                'request_failed',
+                method=request.method,
+                path=request.path,
+                error=repr(error),
+            )
+            return INTERNAL_ERROR, b'{}'
+
+    return handle
+
+
 def readiness_handler(path: str, is_ready: typing.Callable[[], bool]) -> Handler:
     """Return a handler that serves a readiness check at a path."""
 
--- a/src/egretjunction/relay/agent.py
+++ b/src/egretjunction/relay/agent.py
@@ -111,11 +111,16 @@
         handle_readiness = _http.readiness_handler(
             self._platform.readiness_path, lambda: self._draining_since is None
         )
-        _http.Server(self._settings.ready, handle_readiness, self._loop)
-        _http.Server(self._settings.announcements, self._on_announcement, self._loop)
+        _http.Server(self._settings.ready, handle_readiness, self._loop, self._log)
+        _http.Server(
+            self._settings.announcements, self._on_announcement, self._loop, self._log
+        )
         render_by_path = {'/metrics': self._metrics.text, '/status': self._status}
         _http.Server(
-            self._settings.metrics, _http.page_handler(render_by_path), self._loop
+            self._settings.metrics,
+            _http.page_handler(render_by_path),
+            self._loop,
+            self._log,
         )
         self._register_gauges()
         self._server.record_listening(self._clock())
--- a/src/egretjunction/relay/entry.py
+++ b/src/egretjunction/relay/entry.py
@@ -122,14 +122,17 @@
         handle_readiness = _http.readiness_handler(
             self._platform.readiness_path, self._is_ready
         )
-        _http.Server(self._settings.ready, handle_readiness, self._loop)
+        _http.Server(self._settings.ready, handle_readiness, self._loop, self._log)
         render_by_path = {
             '/metrics': self._metrics.text,
             '/status': self._status,
             _configuration.PEER_PATH: lambda: self._configuration.document,
         }
         _http.Server(
-            self._settings.metrics, _http.page_handler(render_by_path), self._loop
+            self._settings.metrics,
+            _http.page_handler(render_by_path),
+            self._loop,
+            self._log,
         )
         self._register_gauges()
         _process.install_handlers(self._loop, self._tick, self.drain, self.reload)
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -14,6 +14,10 @@
 from egretjunction.relay import _loop
 
 
+def _log(event, **fields):
+    raise AssertionError(f'unexpected event: {event} {fields}')
+
+
 @pytest.fixture
 def address():
     loop = _loop.Loop()
@@ -21,7 +25,7 @@
     def respond(request):
         return 200, f'{request.method} {request.path} {len(request.body)}'.encode()
 
-    server = _http.Server(addresses.Address('127.0.0.1', 0), respond, loop)
+    server = _http.Server(addresses.Address('127.0.0.1', 0), respond, loop, _log)
     thread = threading.Thread(target=loop.run, daemon=True)
     thread.start()
     yield server.address
@@ -129,6 +133,34 @@
             connection.sendall(part * 50_000)
 
 
+def test_failed_request_is_logged_and_answered():
+    """Guards against an exception in one request that closes its connection silently."""
+    loop = _loop.Loop()
+    events = []
+
+    def respond(_request):
+        raise ValueError('no such page')
+
+    server = _http.Server(
+        addresses.Address('127.0.0.1', 0),
+        respond,
+        loop,
+        lambda event, **fields: events.append((event, fields)),
+    )
+    thread = threading.Thread(target=loop.run, daemon=True)
+    thread.start()
+    client = http.client.HTTPConnection(*server.address, timeout=2)
+    client.request('GET', '/a')
+    assert client.getresponse().status == 500
+    client.close()
+    loop.post(loop.stop)
+    thread.join()
+    server.close()
+    ((event, fields),) = events
+    assert (event, fields['path']) == ('request_failed', '/a')
+    assert 'no such page' in fields['error']
+
+
 def test_random_bytes_do_not_end_the_server(address):
     """Guards against bytes that raise anything but what the server expects."""
     randomness = random.Random(56)
@@ -181,7 +213,7 @@
     body = bytes(16_000_000)
     loop = _loop.Loop()
     server = _http.Server(
-        addresses.Address('127.0.0.1', 0), lambda _request: (200, body), loop
+        addresses.Address('127.0.0.1', 0), lambda _request: (200, body), loop, _log
     )
     thread = threading.Thread(target=loop.run, daemon=True)
     thread.start()
@@ -203,7 +235,7 @@
     """
     loop = _loop.Loop()
     own = addresses.Address('127.0.0.1', 0)
-    server = _http.Server(own, lambda _request: (200, b''), loop)
+    server = _http.Server(own, lambda _request: (200, b''), loop, _log)
     connections = []
     for _ in range(_http.MAX_CONNECTIONS):
         connections.append(socket.create_connection(server.address, timeout=2))
