Pipelined requests are answered one at a time

What a caller could cause: the responses to all requests of one read of 64 KiB were built before the first was sent. Some 2,400 short requests for the configuration of 1 MB would fill gigabytes, and a process over its memory limit is killed.

Fix: parsed requests wait, and the next one is handled when the response before is sent. Evidence: the test sends 500 requests for 200 kB without reading; before, all 500 were handled (100 MB), now fewer than 100.

--- a/src/egretjunction/relay/_http.py
+++ b/src/egretjunction/relay/_http.py
@@ -1,5 +1,6 @@
 """HTTP server of the relay daemons."""
 
+import collections
 import socket
 import types
 import typing
@@ -102,18 +103,20 @@
 
 
 class _Connection:
-    """One client connection and unsent data.
+    """One client connection, the requests that wait, and unsent data.
 
-    Nothing more is read while a response is not sent completely, so that a client
-    that does not read holds at most one response in memory.
+    Nothing more is read and no other request is handled while a response is not sent
+    completely, so that a client that does not read holds at most one response in
+    memory.
     """
 
-    __slots__ = ('_handler', '_is_open', '_reader', '_socket', '_unsent')
+    __slots__ = ('_handler', '_is_open', '_reader', '_requests', '_socket', '_unsent')
 
     def __init__(self, client_socket: socket.socket, handler: Handler) -> None:
         self._socket = client_socket
         self._handler = handler
-        self._reader = _http_requests.Reader(self._respond)
+        self._requests: collections.deque[_http_requests.Request] = collections.deque()
+        self._reader = _http_requests.Reader(self._requests.append)
         self._is_open = True
         self._unsent = memoryview(b'')
 
@@ -137,21 +140,27 @@
         return bool(received) and self._send()
 
     def _send(self) -> bool:
-        """Send the unsent data; return whether the connection stays open."""
-        if self._unsent:
+        """Send responses to the requests; return whether the connection stays open."""
+        while self._unsent or self._requests:
+            if not self._unsent:
+                self._respond(self._requests.popleft())
             sent_bytes = self._socket.send(self._unsent)
             self._unsent = self._unsent[sent_bytes:]
-        return self._is_open or self.has_unsent
+            if self._unsent:
+                return True
+        return self._is_open
 
     def _respond(self, request: _http_requests.Request) -> None:
         code, body = self._handler(request)
         self._is_open = request.keeps_open
+        if not self._is_open:
+            self._requests.clear()
         head = (
             f'HTTP/1.1 {code} {_REASON_BY_CODE[code]}\r\n'
             f'Content-Length: {len(body)}\r\n'
             'Content-Type: application/json\r\n\r\n'
         )
-        response = b''.join((self._unsent, head.encode(), body))
+        response = b''.join((head.encode(), body))
         self._unsent = memoryview(response)  # its slices are not copies
 
 
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -133,6 +133,28 @@
             connection.sendall(part * 50_000)
 
 
+def test_pipelined_requests_are_answered_one_at_a_time():
+    """Guards against the memory of all responses to the requests of one read."""
+    body = bytes(200_000)
+    loop = _loop.Loop()
+    handled = []
+
+    def respond(request):
+        handled.append(request.path)
+        return 200, body
+
+    own = addresses.Address('127.0.0.1', 0)
+    server = _http.Server(own, respond, loop, _log)
+    client = socket.create_connection(server.address, timeout=2)
+    _run_once(loop)
+    client.sendall(b'GET / HTTP/1.1\r\n\r\n' * 500)
+    for _ in range(5):
+        _run_once(loop)
+    assert 0 < len(handled) < 100
+    client.close()
+    server.close()
+
+
 def test_failed_request_is_logged_and_answered():
     """Guards against an exception in one request that closes its connection silently."""
     loop = _loop.Loop()
