Answers to calls: interim ones are skipped, a change of protocol is an error of the call

What callers saw: nothing yet.

Cause: the exception is no HttpParserError, and the first complete message ended the answer. Fix: interim answers are skipped, a change of protocol is an OSError as other malformed answers are, and what follows an answer is left out. An answer without a stated length ends with its connection, as RFC 9112, section 6.3, has it; before, it was an error.

--- a/src/egretjunction/relay/http_calls.py
+++ b/src/egretjunction/relay/http_calls.py
@@ -19,6 +19,7 @@
 STALL_SECONDS = 1.0  # longest pause between two parts of a response
 MIN_WAIT_SECONDS = 0.001  # a timeout of 0 would make the socket non-blocking
 MIN_BYTES_PER_SECOND = 16_384  # on average; far below the slowest link
+FIRST_FINAL_CODE = 200  # lower codes announce another response
 
 
 class ResponseTooLargeError(OSError):
@@ -66,6 +67,8 @@
         connection.sendall(_request(address, method, target, body))
         try:
             return _receive(connection, deadline, max_body_bytes, on_response)
+        except httptools.HttpParserUpgrade as error:
+            raise OSError('response changes to a protocol never offered') from error
         except httptools.HttpParserError as error:
             raise OSError(f'response is not valid HTTP: {error}') from error
 
@@ -86,27 +89,58 @@
 
 
 class _ResponseParts:
-    """Collects headers and body of a response; the parser calls its methods."""
+    """Collects headers and body of a response; the parser calls its methods.
 
-    __slots__ = ('body', 'header_by_name', 'is_complete')
+    Interim responses, and bytes after the response, are left out. A response without a
+    stated length ends with its connection.
+    """
+
+    __slots__ = (
+        'body',
+        'has_head',
+        'header_by_name',
+        'is_complete',
+        'parser',
+    )
 
     def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
         self.body = b''
+        self.has_head = False
         self.header_by_name: dict[str, str] = {}
         self.is_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header field."""
         text = value.decode('ascii', 'replace')
-        self.header_by_name[name.decode('ascii', 'replace').lower()] = text
+        if not self.is_complete:
+            self.header_by_name[name.decode('ascii', 'replace').lower()] = text
+
+    def on_headers_complete(self) -> None:
+        """Record that the head is complete."""
+        self.has_head = True
 
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body."""
-        self.body += chunk
+        if not self.is_complete:
+            self.body += chunk
 
     def on_message_complete(self) -> None:
-        """Record that the response is complete."""
-        self.is_complete = True
+        """Record that the response is complete, unless it is an interim one."""
+        if self.parser.get_status_code() < FIRST_FINAL_CODE:
+            self.has_head = False
+            self.header_by_name.clear()
+        else:
+            self.is_complete = True
+
+    def ends_with_connection(self) -> bool:
+        """Tell whether the close of the connection is the end of the response."""
+        has_length = 'content-length' in self.header_by_name
+        return (
+            self.has_head
+            and not has_length
+            and 'transfer-encoding' not in self.header_by_name
+        )
 
 
 def _receive(
@@ -121,13 +155,14 @@
     :raises OSError: when the response stays away, stalls, or is too large.
     """
     parts = _ResponseParts()
-    parser = httptools.HttpResponseParser(parts)
     started_at: float | None = None
     while not parts.is_complete:
         received = _read_chunk(connection, deadline, parts)
         if not received:
+            if parts.ends_with_connection():
+                break
             raise OSError('connection closed before the response was complete')
-        parser.feed_data(received)
+        parts.parser.feed_data(received)
         _check_size(parts, max_body_bytes)
         now = time.monotonic()
         if started_at is None:
@@ -135,7 +170,7 @@
             if on_response is not None:
                 on_response()
         deadline = _next_deadline(now, started_at, len(parts.body))
-    return Response(parser.get_status_code(), parts.body, parts.header_by_name)
+    return Response(parts.parser.get_status_code(), parts.body, parts.header_by_name)
 
 
 def _next_deadline(now: float, started_at: float, body_bytes: int) -> float:
--- a/tests/relay/test_http_calls.py
+++ b/tests/relay/test_http_calls.py
@@ -78,3 +78,38 @@
     begun = []
     _call([HEAD % 1, b'x'], 0.0, on_response=lambda: begun.append(1))
     assert begun == [1]
+
+
+OFFER = b'Connection: upgrade\r\nUpgrade: h2c\r\n'
+
+
+@pytest.mark.parametrize(
+    'interim',
+    [
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+        b'HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\nstore-era: 7\r\n\r\n',
+    ],
+)
+def test_interim_response_is_not_taken_for_the_final_one(interim):
+    """Guards against a store that seems to fail since it announces its responses."""
+    response = _call([interim * 2, HEAD % 2, b'ok'], 0.01)
+    assert (response.code, response.body) == (200, b'ok')
+    assert 'store-era' not in response.header_by_name
+
+
+def test_response_that_offers_another_protocol_is_read():
+    response = _call(
+        [b'HTTP/1.1 200 OK\r\n' + OFFER + b'Content-Length: 2\r\n\r\nok'], 0
+    )
+    assert response.body == b'ok'
+
+
+@pytest.mark.parametrize('head', [OFFER, b''])
+def test_response_that_changes_the_protocol_is_an_error_of_the_call(head):
+    """Guards against an exception that ends the task, or the process, that called."""
+    with pytest.raises(OSError, match='response'):
+        _call([b'HTTP/1.1 101 Switching Protocols\r\n' + head + b'\r\n\x00\x00'], 0)
+
+
+def test_bytes_after_a_response_are_left_out():
+    assert _call([HEAD % 2 + b'ok' + HEAD % 2 + b'no'], 0).body == b'ok'
