A heartbeat without a start time is malformed

Cause: born had a default of 0, so that a heartbeat without it was valid. With a sequence of 1 it proves that its sender started after the agent, which then claims to know every flow; neither the listing nor the entries can contradict it, since they name another start. PROTOCOL.md, Service discovery: 'born [...] is the Unix millisecond of its start, always a whole number', and a writer that leaves fields out 'names no backend to use'.

--- a/tests/platform/test_backend_heartbeats.py
+++ b/tests/platform/test_backend_heartbeats.py
@@ -54,6 +54,8 @@
         {'capacity': 'two'},
         {'sequence': None},
         {'born': 1.5},
+        {'born': 0},
+        {'born': None},
         {'service': 7},
         {'address': 7},
         {'address': 'somewhere'},
@@ -79,6 +81,19 @@
         )
 
 
+def test_heartbeat_without_a_start_time_is_rejected():
+    """Guards against a restarted agent that denies its server's flows.
+
+    A first heartbeat with the sequence 1 proves that its sender started after the agent;
+    one without a start time, of another writer, named no server that it could be of.
+    """
+    body = {key: HEARTBEAT[key] for key in HEARTBEAT if key != 'born'}
+    with pytest.raises(errors.PlatformFormatError, match='born'):
+        backend_heartbeats.read_announcement(
+            'PUT', '/instances/i-7f3a91c2', json.dumps({**body, 'sequence': 1}).encode()
+        )
+
+
 @pytest.mark.parametrize(
     ('method', 'path'),
     [('GET', '/instances/i-1'), ('PUT', '/instances/'), ('PUT', '/other')],
