A flow is kept until both ends have closed it

Cause: the agent dropped its record of a flow 3 s after the first FIN of either end and then denied the flow.

--- a/src/egretjunction/decisions/relay_agent.py
+++ b/src/egretjunction/decisions/relay_agent.py
@@ -18,7 +18,7 @@
 from egretjunction.relay import packets
 from egretjunction.wire import relaying
 
-ENDED_FLOW_SECONDS = 3.0  # keeps the record of an ended flow for its late packets
+CLOSED_FLOW_SECONDS = 3.0  # keeps the record of a closed flow for its late packets
 ENTRY_EXPIRY_SECONDS = 10.0  # silent entries then get no more status messages
 MAX_FLOWS = 20_000
 
@@ -125,8 +125,7 @@
             self._requests.record_answer(packet, now)
         if packet.is_reset and flow.ended_at is None:
             self._backlog.reset(packet.key, now)
-        if packet.is_reset or packet.is_last:
-            self._mark_ended(packet.key, flow, now)
+        self._note_end(packet, flow, relay_flows.Direction.TO_CLIENT, now)
         return emitted + self._notify_waiting_entries(now)
 
     def _on_accepted(
@@ -429,8 +428,7 @@
             self.server.record_sent(now)
         if flow.ended_at is None:
             self._requests.record_sent(packet, now)
-        if packet.is_reset or packet.is_last:
-            self._mark_ended(packet.key, flow, now)
+        self._note_end(packet, flow, relay_flows.Direction.TO_SERVER, now)
         return [effects.ToServer(packet.raw)]
 
     def _on_find(
@@ -609,10 +607,21 @@
         raw = self._codec.restore_bounced(packet.raw)
         return [effects.Send(flow.entry, relaying.Returned(raw, self.status(now)))]
 
-    def _mark_ended(self, key: bytes, flow: relay_flows.Flow, now: float) -> None:
-        if flow.ended_at is None:
-            flow.ended_at = now
-        self._requests.finish(key, now)
+    def _note_end(
+        self,
+        packet: packets.Packet,
+        flow: relay_flows.Flow,
+        direction: relay_flows.Direction,
+        now: float,
+    ) -> None:
+        """Note that a packet, if it is the last of its direction, ends it."""
+        if packet.is_reset:
+            flow.record_end(relay_flows.Direction, now)
+        elif packet.is_last:
+            flow.record_end([direction], now)
+        else:
+            return
+        self._requests.finish(packet.key, now)
 
     def _remove_flow(self, key: bytes) -> None:
         self._flow_by_key.pop(key, None)
@@ -652,14 +661,14 @@
 
     def _remove_expired(self, now: float) -> None:
         for key, flow in list(self._flow_by_key.items()):
-            is_ended = flow.ended_at is not None and (
-                now - flow.ended_at > ENDED_FLOW_SECONDS
+            is_closed = flow.closed_at is not None and (
+                now - flow.closed_at > CLOSED_FLOW_SECONDS
             )
             is_abandoned = (
                 not flow.is_open
                 and now - flow.used_at > self._codec.opening.timeout_seconds
             )
-            if is_ended or is_abandoned or now - flow.used_at > self._max_flow_seconds:
+            if is_closed or is_abandoned or now - flow.used_at > self._max_flow_seconds:
                 self._remove_flow(key)
         for entry, heard_at in list(self._last_heard_by_entry.items()):
             if now - heard_at > ENTRY_EXPIRY_SECONDS:
--- a/src/egretjunction/decisions/relay_flows.py
+++ b/src/egretjunction/decisions/relay_flows.py
@@ -1,9 +1,19 @@
 """Records of an agent: its flows, and probes sent to its backend server."""
 
+import enum
+import typing
+
 from egretjunction import addresses
 from egretjunction.relay import packets
 
 
+class Direction(enum.Enum):
+    """Direction in which an end of a flow sends."""
+
+    TO_SERVER = 'to_server'
+    TO_CLIENT = 'to_client'
+
+
 class Flow:
     """One flow at this agent.
 
@@ -18,10 +28,14 @@
     :param acknowledged: last acknowledgement number of the client.
     :param entry: entry that sent the last packet of the flow.
     :param token: token with which that entry identifies its offer or search.
+    :param ended_at: time of the first end of a direction or of a reset, or None.
+    :param closed_at: time at which both directions had ended, or of a reset, or None.
     """
 
     __slots__ = (
+        '_ended_directions',
         'acknowledged',
+        'closed_at',
         'ended_at',
         'entry',
         'first_sequence',
@@ -41,12 +55,25 @@
         self.is_server_confirmed = False
         self.is_provisional = False
         self.ended_at: float | None = None
+        self.closed_at: float | None = None
+        self._ended_directions: set[Direction] = set()
         self.server_sequence: int | None = None
         self.first_sequence: int | None = None
         self.acknowledged = 0
         self.entry: addresses.Address | None = None
         self.token = 0
 
+    def record_end(self, ended: typing.Collection[Direction], now: float) -> None:
+        """Record the end of one direction, or that of both by a reset.
+
+        One end may go on sending for long after the other has sent its last packet.
+        """
+        self._ended_directions.update(ended)
+        if self.ended_at is None:
+            self.ended_at = now
+        if self.closed_at is None and len(self._ended_directions) == len(Direction):
+            self.closed_at = now
+
     @property
     def is_proven(self) -> bool:
         """Tell whether a packet of the server has shown that it took the flow."""
