--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -29,6 +29,7 @@
     :param is_silent: whether calls get no response.
     :param loses_responses: whether writes take effect without a response.
     :param bytes_per_second: what all responses together get of the link, 0 for no limit.
+    :param preface: bytes that go before each response, such as an interim response.
     :param before_response: called with the path of each read before it is performed.
     """
 
@@ -45,6 +46,7 @@
         self.bytes_per_second = 0
         self.link = threading.Lock()
         self.sent_bytes = 0
+        self.preface = b''
         self.before_response = lambda _path: None
         self.changed = threading.Condition()
         self.connections = set()
@@ -223,6 +225,8 @@
             self.close_connection = True
             return
         raw = json.dumps(body).encode()
+        with contextlib.suppress(ConnectionError):
+            self.wfile.write(self.store.preface)
         self.send_response(self.store.status or code)
         self.send_header('Content-Type', 'application/json')
         self.send_header('Store-Era', str(self.store.era))
