--- a/tests/relay/soaking.py
+++ b/tests/relay/soaking.py
@@ -37,12 +37,13 @@
 CLIENTS, AGENTS, READY, ANNOUNCEMENTS, METRICS, OUTBOUND, BACKEND = range(9100, 9107)
 
 
-def announce(host, name='i-1', timeout=0.3, **fields):
+def announce(host, name='i-1', timeout=0.3, *, offers_http2=False, **fields):
     """Send a heartbeat of the server beside an agent, which may be down.
 
     :param host: host of the agent and the server.
     :param name: name of the server.
     :param timeout: how long to wait for an answer, in seconds.
+    :param offers_http2: whether the heartbeat offers an upgrade to HTTP/2.
     :param fields: fields of the heartbeat that differ.
     :return: the response status, None without an answer.
     """
@@ -50,7 +51,9 @@
     body = daemons.heartbeat(**{**own, **fields})
     path = f'/instances/{name}'
     with contextlib.suppress(OSError, http.client.HTTPException):
-        return daemons.put(host, ANNOUNCEMENTS, path, body, timeout)
+        return daemons.put(
+            host, ANNOUNCEMENTS, path, body, timeout, offers_http2=offers_http2
+        )
 
 
 class Process:
@@ -356,7 +359,8 @@
         while not self._is_over.wait(0.4):
             sequence += 1
             for agent in self.agents:
-                announce(agent.host, sequence=sequence)
+                has_offer = bool(sequence % 2)
+                announce(agent.host, offers_http2=has_offer, sequence=sequence)
                 if self._heartbeat_draw.random() < FOREIGN_HEARTBEATS:
                     self._announce_other(agent.host)
 
--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -37,6 +37,11 @@
 ACK = 2
 RST = 64
 WAIT_SECONDS = 10
+HTTP2_OFFER = {
+    'Connection': 'Upgrade, HTTP2-Settings',
+    'Upgrade': 'h2c',
+    'HTTP2-Settings': 'AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA',
+}
 SETTLED = dict([listings.era_item(1)])  # the store's first era, not just restored
 
 
@@ -206,11 +211,12 @@
     return json.dumps({name: body[name] for name in body if body[name] is not None})
 
 
-def put(host, port, path, body, timeout=1):
+def put(host, port, path, body, timeout=1, *, offers_http2=False):
     """Return the status of a PUT request."""
     connection = http.client.HTTPConnection(host, port, timeout=timeout)
     with contextlib.closing(connection):
-        connection.request('PUT', path, body)
+        headers = HTTP2_OFFER if offers_http2 else {}
+        connection.request('PUT', path, body, headers)
         return connection.getresponse().status
 
 
