The offer of HTTP/2 in tests stands in one place

Three test modules wrote the same fields; two now use those of test_daemons. The bytes, the assertions and the bounds are the same: 37 tests of the two modules passed. Found on reading the change once more.

--- a/tests/relay/test_daemons.py
+++ b/tests/relay/test_daemons.py
@@ -42,6 +42,9 @@
     'Upgrade': 'h2c',
     'HTTP2-Settings': 'AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA',
 }
+HTTP2_OFFER_LINES = ''.join(
+    f'{name}: {text}\r\n' for name, text in HTTP2_OFFER.items()
+).encode()
 SETTLED = dict([listings.era_item(1)])  # the store's first era, not just restored
 
 
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -12,6 +12,7 @@
 from egretjunction.relay import _http
 from egretjunction.relay import _http_requests
 from egretjunction.relay import _loop
+from tests.relay import test_daemons as daemons
 
 
 def _log(event, **fields):
@@ -65,11 +66,7 @@
     client.close()
 
 
-OFFER = (
-    b'Connection: Upgrade, HTTP2-Settings\r\n'
-    b'Upgrade: h2c\r\n'
-    b'HTTP2-Settings: AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA\r\n'
-)
+OFFER = daemons.HTTP2_OFFER_LINES
 WEB_SOCKET_OFFER = b'connection: keep-alive, upgrade\r\nUPGRADE: websocket\r\n'
 BODY_BY_FRAMING = {
     b'Content-Length: 5\r\n\r\n': b'hello',
--- a/tests/relay/test_odd_http.py
+++ b/tests/relay/test_odd_http.py
@@ -10,11 +10,7 @@
 from tests.relay import test_daemons as daemons
 
 running = daemons.running
-OFFER = (
-    b'Connection: Upgrade, HTTP2-Settings\r\n'
-    b'Upgrade: h2c\r\n'
-    b'HTTP2-Settings: AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA\r\n'
-)
+OFFER = daemons.HTTP2_OFFER_LINES
 ODD_REQUESTS = {
     'offer': b'GET / HTTP/1.1\r\n' + OFFER + b'\r\n',
     'offer-with-body': b'PUT / HTTP/1.1\r\n' + OFFER + b'Content-Length: 2\r\n\r\n{}',
@@ -99,11 +95,10 @@
     connection = http.client.HTTPConnection(
         daemons.AGENT_HOST, system.http + 1, timeout=1
     )
-    fields = [line.split(': ') for line in OFFER.decode().splitlines()]
     with contextlib.closing(connection):
         for sequence in (10, 11):
             body = system.heartbeat(sequence=sequence, state='draining')
-            connection.request('PUT', '/instances/i-1', body, dict(fields))
+            connection.request('PUT', '/instances/i-1', body, daemons.HTTP2_OFFER)
             response = connection.getresponse()
             assert (response.status, response.read()) == (200, b'{}')
     assert b'"state":"draining"' in system.get('agent', '/status')[1]
